Reload on SIGHUP: read the file anew and move the watch to the new discovery

Checked: with a handler alone the old address would be asked for ever (ServiceEntry::discovery_ was const and ROUTER_DISCOVERY goes before the file). One watch at a time would leave a gap, and a failed call waited for the module's own pace. Silence of 4.7 s, the module's wait of up to 0.75 s and a call of up to 2 s made more than the 6 s after which a change counts as told; a live watch writes every 2 s, so 2.7 s tells silence.

Now ServiceEntry holds the old watch until the new one has told something, asks there for the whole list, and for 4 s asks again at once where the new address fails.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,10 +16,11 @@
   using namespace umberdyke::net;
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const Config config = LoadConfig([](const std::string& name) {
+    const Environment environment = [](const std::string& name) {
       const char* value = std::getenv(name.c_str());
       return value == nullptr ? std::nullopt : std::optional<std::string>(value);
-    });
+    };
+    const Config config = LoadConfig(environment);
     auto log =
         std::make_shared<spdlog::logger>("umberdyke", std::make_shared<spdlog::sinks::stderr_sink_st>());
     log->flush_on(spdlog::level::info);
@@ -28,6 +29,7 @@
     const auto end = [&] { sidecar.Drain([&] { loop.Stop(); }); };
     const Signal term(loop, SIGTERM, end);
     const Signal interrupt(loop, SIGINT, end);
+    const Signal reload(loop, SIGHUP, [&] { sidecar.Reload([&] { return ReloadConfig(environment); }); });
     const Signal print(loop, SIGUSR1, [&] { log->info("counters: {}", sidecar.counters().Print("; ")); });
     log->info("{} listens on {}, tier {}", config.name, PrintAddress(sidecar.address()),
               config.settings.tier);
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -109,13 +109,30 @@
 
 }  // namespace
 
-Config LoadConfig(const Environment& environment) {
+namespace {
+
+std::string ConfigFile(const Environment& environment) {
   const std::optional<std::string> path = environment("ROUTER_CONFIG");
   if (!path || path->empty()) Bad("ROUTER_CONFIG", "is not set");
   std::ifstream file(*path);
   std::stringstream text;
   if (!file || !(text << file.rdbuf())) Bad("ROUTER_CONFIG", "names a file that cannot be read: " + *path);
-  return ParseConfig(text.str(), environment);
+  return text.str();
+}
+
+}  // namespace
+
+Config LoadConfig(const Environment& environment) {
+  return ParseConfig(ConfigFile(environment), environment);
+}
+
+Config ReloadConfig(const Environment& environment) {
+  const std::string text = ConfigFile(environment);
+  const Json json = Json::parse(text, nullptr, false);
+  const bool told = json.is_object() && json.contains("discovery") && !json["discovery"].is_null();
+  return ParseConfig(text, [&](const std::string& name) {
+    return told && name == "ROUTER_DISCOVERY" ? std::nullopt : environment(name);
+  });
 }
 
 Config ParseConfig(const std::string& text, const Environment& environment) {
@@ -146,6 +163,9 @@
   if (config.class_names.empty()) Bad("settings.request_classes", "is missing or empty");
   config.connect_timeout = SpanFrom(*settings, "connect_timeout_us", 1'000'000);
   config.connection_idle = SpanFrom(*settings, "conn_idle_us", 60'000'000);
+  Json rest = json;
+  for (const char* applied : {"discovery", "known", "seed"}) rest.erase(applied);
+  config.rest = rest.dump();
   return config;
 }
 
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -37,12 +37,15 @@
   std::chrono::microseconds connect_timeout{};
   std::chrono::microseconds connection_idle{};
   int descriptors = 0;
+  std::string rest;  // all that a reload does not apply, to tell whether it has changed
 };
 
 using Environment = std::function<std::optional<std::string>(const std::string&)>;
 
 // Reads the variables and the file that they name. Throws ConfigError.
 Config LoadConfig(const Environment& environment);
+// Reads them anew. ROUTER_DISCOVERY is as old as the start: here the file goes before it. Throws ConfigError.
+Config ReloadConfig(const Environment& environment);
 // Reads the JSON text; variables that are set go before what it says. Throws ConfigError.
 Config ParseConfig(const std::string& json, const Environment& environment);
 
--- a/src/net/service_entry.cpp
+++ b/src/net/service_entry.cpp
@@ -5,65 +5,48 @@
 
 using namespace std::chrono_literals;
 
-// Discovery writes at least every 2 s, and whatever it has to tell counts as told after 6 s: a watch silent
-// for this long is broken, and there must be time left to ask anew.
-constexpr Span kLongestSilence = 4700ms;
-constexpr Span kLongestCall = 3s;  // for the first bytes; calls there wait in turn
+// Discovery writes at least every 2 s, and whatever it has to tell counts as told after 6 s. So a watch that is
+// silent for longer is broken, and silence, the module's wait and a new call must fit into these 6 s.
+constexpr Span kLongestSilence = 2700ms;
+constexpr Span kLongestCall = 2300ms;  // for the first bytes; calls there wait in turn, for 2 s at most
 constexpr size_t kLongestLine = 4 * 1024 * 1024;
+// After a move the list counts as told within 4 s: until then nobody else is waited for.
+constexpr Span kHurry = 4s;
+constexpr Span kHurryPace = 150ms;
 
 }  // namespace
 
-ServiceEntry::ServiceEntry(Loop& loop, const Platform& platform, const Address& discovery, Counters& counters,
-                           Told told)
-    : loop_(loop),
-      platform_(platform),
-      discovery_(discovery),
-      counters_(counters),
-      told_(std::move(told)),
-      silence_(loop, [this] { Broken("it fell silent"); }) {}
-
-void ServiceEntry::TakeKnown(const std::string& json) {
-  const auto change = platform_.ReadList(json);
-  if (!change && !json.empty()) counters_.Add("discovery_unreadable");
-  Take(change.value_or(ListedChange{}), ListUpdate::kCached);
-}
-
-void ServiceEntry::Watch(bool on) {
-  Drop();
-  if (!on) return;
-  counters_.Add("discovery_calls");
-  stream_ = std::make_unique<Stream>(loop_, this);
-  parser_ = std::make_unique<HttpParser>(HttpParser::Kind::kResponse);
-  parser_->StreamBodyTo([this](std::string_view bytes) { TakeBody(bytes); });
-  line_.clear();
-  broken_body_ = false;
+ListWatch::ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Owner owner)
+    : request_(Platform::WatchRequest(version, PrintAddress(discovery))),
+      owner_(std::move(owner)),
+      stream_(loop, this),
+      silence_(loop, [this] { Broken("it fell silent"); }) {
+  parser_.StreamBodyTo([this](std::string_view bytes) { TakeBody(bytes); });
   silence_.Start(kLongestCall);
-  if (!stream_->Connect(discovery_)) silence_.Start(0ms);
+  if (!stream_.Connect(discovery)) silence_.Start(0ms);
 }
 
-void ServiceEntry::OnConnected(bool ok) {
+void ListWatch::OnConnected(bool ok) {
   if (!ok) return Broken("discovery could not be reached");
-  stream_->Read();
-  const std::string request = Platform::WatchRequest(version_, PrintAddress(discovery_));
-  if (stream_->Write(request) == Stream::Wrote::kBroken) Broken("the request could not be written");
+  stream_.Read();
+  if (stream_.Write(request_) == Stream::Wrote::kBroken) Broken("the request could not be written");
 }
 
-void ServiceEntry::OnData(std::string_view bytes) {
+void ListWatch::OnData(std::string_view bytes) {
   silence_.Start(kLongestSilence);
   size_t used = 0;
-  const Parsed parsed = parser_->Feed(bytes, &used);
-  if (stream_ == nullptr) return;  // told of a change, the module may have ended the watch
-  if (parsed == Parsed::kMore && !broken_body_ &&
-      (!parser_->head_done() || parser_->message().status == 200)) {
+  const Parsed parsed = parser_.Feed(bytes, &used);
+  if (!stream_.open()) return;  // told of a change, the module may have ended the watch
+  if (parsed == Parsed::kMore && !broken_body_ && (!parser_.head_done() || parser_.message().status == 200)) {
     return;
   }
   Broken("it ended or made no sense");
 }
 
 // Lines may be split anywhere, and empty ones only say that the watch lives.
-void ServiceEntry::TakeBody(std::string_view bytes) {
-  if (parser_->message().status != 200) return;
-  while (!bytes.empty()) {
+void ListWatch::TakeBody(std::string_view bytes) {
+  if (parser_.message().status != 200) return;
+  while (!bytes.empty() && stream_.open()) {
     const size_t end = bytes.find('\n');
     line_.append(bytes.substr(0, end));
     if (line_.size() > kLongestLine) broken_body_ = true;
@@ -71,23 +54,94 @@
     bytes.remove_prefix(end + 1);
     const std::string line = std::move(line_);
     line_.clear();
-    TakeLine(line);
+    if (line.find_first_not_of(" \r\t") != std::string::npos) owner_.line(line);
   }
 }
 
-void ServiceEntry::TakeLine(std::string_view line) {
-  if (line.find_first_not_of(" \r\t") == std::string_view::npos) return;
+void ListWatch::Broken(const char* why) {
+  if (!stream_.open()) return;
+  Close();
+  owner_.broken(why);
+}
+
+void ListWatch::Close() {
+  silence_.Stop();
+  stream_.Close();
+}
+
+ServiceEntry::ServiceEntry(Loop& loop, const Platform& platform, const Address& discovery, Counters& counters,
+                           Told told)
+    : loop_(loop),
+      platform_(platform),
+      discovery_(discovery),
+      counters_(counters),
+      told_(std::move(told)),
+      again_(loop, [this] {
+        if (wanted_ && watch_ == nullptr) Ask();
+      }) {}
+
+void ServiceEntry::TakeKnown(const std::string& json) {
+  const auto change = platform_.ReadList(json);
+  if (!change && !json.empty()) counters_.Add("discovery_unreadable");
+  if (change) version_ = change->version;
+  Take(change.value_or(ListedChange{}), ListUpdate::kCached);
+}
+
+void ServiceEntry::Watch(bool on) {
+  wanted_ = on;
+  if (!on) {
+    Drop(watch_);
+    Drop(old_);
+  } else if (watch_ == nullptr) {
+    Ask();
+  }
+}
+
+void ServiceEntry::MoveTo(const Address& discovery) {
+  if (PrintAddress(discovery) == PrintAddress(discovery_)) return;
+  counters_.Add("discovery_moves");
+  discovery_ = discovery;
+  version_ = 0;  // another service may count its versions anew
+  hurry_until_ = Clock::now() + kHurry;
+  // A second move before the first has told anything: the watch before both is the one that knows the list.
+  if (old_ == nullptr) {
+    old_ = std::move(watch_);
+  } else {
+    Drop(watch_);
+  }
+  if (wanted_) Ask();
+}
+
+void ServiceEntry::Ask() {
+  counters_.Add("discovery_calls");
+  again_.Stop();
+  // Which of the two watches a line is from shows in whether it is still the new one.
+  const auto place = std::make_shared<ListWatch*>(nullptr);
+  watch_ = std::make_unique<ListWatch>(
+      loop_, discovery_, version_,
+      ListWatch::Owner{[this, place](std::string_view line) { TakeLine(line, *place != watch_.get()); },
+                       [this, place](const char* why) {
+                         if (*place == watch_.get()) return Broken(why);
+                         Drop(old_);
+                       }});
+  *place = watch_.get();
+}
+
+void ServiceEntry::TakeLine(std::string_view line, bool from_old) {
   const auto change = platform_.ReadList(line);
   if (!change) {
     counters_.Add("discovery_unreadable");
     return;
   }
   counters_.Add("discovery_changes");
+  if (!from_old) {
+    version_ = change->full ? change->version : std::max(version_, change->version);
+    Drop(old_);
+  }
   Take(*change, change->full ? ListUpdate::kComplete : ListUpdate::kChanges);
 }
 
 void ServiceEntry::Take(const ListedChange& listed, ListUpdate kind) {
-  version_ = std::max(version_, listed.version);
   for (int i = 0; i < listed.unreadable; ++i) counters_.Add("discovery_unreadable");
   ListChange change{kind, {}, {}};
   std::vector<bool> named(servers_.size(), false);
@@ -107,18 +161,16 @@
 }
 
 void ServiceEntry::Broken(const char* why) {
-  if (stream_ == nullptr) return;
-  Drop();
+  Drop(watch_);
   counters_.Add("discovery_broken");
+  if (Clock::now() < hurry_until_) return again_.Start(kHurryPace);
   told_({ListUpdate::kFailed, {}, why});
 }
 
-void ServiceEntry::Drop() {
-  silence_.Stop();
-  if (stream_ == nullptr) return;
-  stream_->Close();
-  loop_.Bury(std::move(stream_));
-  loop_.Bury(std::move(parser_));
+void ServiceEntry::Drop(std::unique_ptr<ListWatch>& watch) {
+  if (watch == nullptr) return;
+  watch->Close();
+  loop_.Bury(std::move(watch));
 }
 
 }  // namespace umberdyke::net
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -187,6 +187,20 @@
   close_timer_.Start(kServeOn);
 }
 
+void Sidecar::Reload(const std::function<Config()>& load) {
+  try {
+    const Config next = load();
+    counters_.Add("reloads");
+    log_->info("{} has read its configuration anew: discovery at {}{}", config_.name,
+               PrintAddress(next.discovery),
+               next.rest == config_.rest ? "" : "; what else has changed holds from the next start on");
+    entry_.MoveTo(next.discovery);
+  } catch (const std::exception& error) {  // nothing that a file says may end a sidecar that serves
+    counters_.Add("reloads_refused");
+    log_->error("{} keeps the configuration it has: {}", config_.name, error.what());
+  }
+}
+
 void Sidecar::CloseEdges() {
   closing_ = true;
   listener_.Close();
--- a/src/net/sidecar.h
+++ b/src/net/sidecar.h
@@ -35,6 +35,8 @@
   Address address() const { return listener_.address(); }
   // Serves on for a while, then ends connections after their answers; `drained` follows once all are closed.
   void Drain(std::function<void()> drained);
+  // Takes discovery's address from a new configuration; where `load` throws, all stays as it was.
+  void Reload(const std::function<Config()>& load);
   const Counters& counters() const { return counters_; }
 
  private:
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -1,5 +1,11 @@
 // Tables of cases for what reads text: HTTP, the platform's requests and answers, discovery, configuration.
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 
 #include "net/http.h"
 #include "site.h"
@@ -167,5 +173,28 @@
   CHECK(config.zone_names == std::vector<std::string>{"east", "west"});
 }
 
+// ROUTER_DISCOVERY was set before the file was replaced: at a reload it is the file that is new.
+TEST_CASE("at a reload the file's discovery goes before the variable", "[config]") {
+  std::string path = std::filesystem::temp_directory_path() / "umberdyke_XXXXXX";
+  close(mkstemp(path.data()));
+  const Environment environment = [&](const std::string& name) {
+    return name == "ROUTER_CONFIG"      ? std::optional<std::string>(path)
+           : name == "ROUTER_DISCOVERY" ? std::optional<std::string>("127.0.0.1:7")
+                                        : std::nullopt;
+  };
+  const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
+  write(ConfigText("127.0.0.1:8", "null"));
+  const Config before = LoadConfig(environment);
+  CHECK(PrintAddress(before.discovery) == "127.0.0.1:7");
+  CHECK(PrintAddress(ReloadConfig(environment).discovery) == "127.0.0.1:8");
+  CHECK(ReloadConfig(environment).rest == before.rest);
+  write(ConfigText("127.0.0.1:8", "null", 512));
+  CHECK(ReloadConfig(environment).rest != before.rest);
+  write("{");
+  CHECK_THROWS_AS(ReloadConfig(environment), ConfigError);
+  std::remove(path.c_str());
+  CHECK_THROWS_AS(ReloadConfig(environment), ConfigError);
+}
+
 }  // namespace
 }  // namespace umberdyke::net
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -209,6 +209,45 @@
   CHECK(site.sidecar->counters().Of("discovery_broken") == 1);
 }
 
+// Guards against a list that grows old after a move, and against a gap: the old watch counts until the new one
+// has told the whole list. A file that makes no sense changes nothing.
+TEST_CASE("a reload moves the watch to the discovery that the file names", "[rules]") {
+  Site site(1);
+  site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
+  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+  Party::Peer* const old_watch = site.watch;
+  Party moved(site.loop);
+  Party::Peer* new_watch = nullptr;
+  moved.script = [&](Party::Peer& peer) {
+    new_watch = &peer;
+    if (moved.requests == 1) return peer.stream.Close();  // asked for again at once, not when the module says
+    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  };
+  const auto reload = [&](const std::string& text) {
+    site.sidecar->Reload([text] { return ParseConfig(text, NoEnvironment()); });
+  };
+  for (const char* bad : {"", "[]", "{\"discovery\":7}"}) reload(bad);
+  reload(ConfigText("nowhere", "null"));
+  CHECK(site.sidecar->counters().Of("reloads_refused") == 4);
+  for (int i = 0; i < 3; ++i) reload(ConfigText(moved.address(), "null"));
+  REQUIRE(site.Until([&] { return moved.requests == 2; }));
+  CHECK(new_watch->last.target == "/api/targets?stream=1&index=0");
+  CHECK_FALSE(old_watch->ended);
+  const auto change = [](const std::string& id, const std::string& address) {
+    return ListText(9, false, {ServerLine(id, address)});
+  };
+  Party fresh(site.loop);
+  fresh.script = [](Party::Peer& peer) { peer.Answer(200, "new"); };
+  site.Tell(change("s0", site.real[0]->address()));
+  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
+  site.watch = new_watch;
+  site.Tell(ListText(3, true, {ServerLine("n", fresh.address())}));
+  REQUIRE(site.Until([&] { return old_watch->ended; }));
+  CHECK(site.Ask(Look()).body == "new");
+  CHECK(site.sidecar->counters().Of("discovery_broken") == 1);
+  CHECK(site.discovery.requests == 1);
+}
+
 // Guards against dying of too many descriptors: idle connections make room, and nobody is lost.
 TEST_CASE("more clients than descriptors are all served in turn", "[rules]") {
   Site site(1, 64);
