Blame no server for a spoilt answer, and try no unfit request again

Checked: no connection broke (attempts_reset equals answers_malformed); the probes' log shows the requests answered 400 to be well formed, from clients of the bad kind. Ruled out: slow servers and connect timeouts (none in the counters).

At fault: RealServers::Data reported a spoilt answer as How::kBroken, so Learn called Eject, which doubles from 1 to 8 s; Platform::OutcomeOf made kError of a 4xx, and TryAgain sends an error to the next server.

Now kSpoilt is an outcome of its own (it may have run; two in a row keep the class off the server) and a 4xx that speaks of the request is kUnfit: one attempt, a final failure with that status, no blame.

--- a/include/umberdyke/balancer.h
+++ b/include/umberdyke/balancer.h
@@ -101,7 +101,18 @@
   bool client_retry = false;
 };
 
-enum class Outcome { kOk, kError, kRejected, kTimeout, kConnectFailed, kReset, kCancelled, kNotSent };
+enum class Outcome {
+  kOk,
+  kError,
+  kRejected,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kNotSent,
+  kSpoilt,  // something came back, but no answer that can be read: it may have run
+  kUnfit,   // the upstream says that the request itself is at fault
+};
 
 struct AttemptEnd {
   RequestId request = 0;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -653,6 +653,12 @@
   }
 
   void TryAgain(RequestId id, Held& held, Outcome outcome) {
+    if (outcome == Outcome::kUnfit) {  // no other server will take it, and coming back is no use
+      LeaveHand(id, held, false);
+      out_->push_back(Fail{id});
+      held_.erase(id);
+      return;
+    }
     const bool never_ran = ProvesNeverRan(outcome);
     const bool out_of_time = now_ >= held.deadline - Guard() || !TimeForOne(held);
     const bool in_vain = outcome == Outcome::kError && AtFault(held, &Kin::failed);
@@ -827,12 +833,14 @@
     const bool earlier_life = attempt && attempt->ready_at != up.entry.ready_at;
     if (earlier_life || up.entry.ready_at > now_ - end.elapsed) return;
     if (end.outcome == Outcome::kCancelled || end.outcome == Outcome::kNotSent) return;
-    const bool answered =
-        end.outcome == Outcome::kOk || end.outcome == Outcome::kError || end.outcome == Outcome::kRejected;
+    const bool answered = end.outcome == Outcome::kOk || end.outcome == Outcome::kError ||
+                          end.outcome == Outcome::kRejected || end.outcome == Outcome::kUnfit;
     if (answered) up.heard = up.answered = now_;
     if (end.report) TakeReport(up, *end.report);
     if (end.outcome == Outcome::kRejected) up.chips = 0;
     if (end.outcome == Outcome::kRejected) return;
+    if (end.outcome == Outcome::kUnfit) return MintChip(up);  // says nothing against the server, nor the kin
+    if (end.outcome == Outcome::kSpoilt) return Spoilt(up, held);
     if (held && answered) TellKinFailed(*held, end.outcome == Outcome::kError);
     const bool excused = held && Excused(up, *held, end.outcome);
     double& bad = zone_bad_[ZoneOf(up)];
@@ -848,7 +856,15 @@
     if (answered) MintChip(up);
   }
 
+  // Guards against leaving sound servers for answers that are spoilt here and there: one that sent something is
+  // no silent one, and only when nothing else came of it twice in a row does the class keep off it.
+  void Spoilt(Upstream& up, const Held* held) {
+    up.answered = now_;
+    if (++up.spoilt > 1 && held) Avoid(up, held->request.request_class);
+  }
+
   void Served(Upstream& up, const AttemptEnd& end, const Held* held) {
+    up.spoilt = 0;
     const double took = static_cast<double>(end.elapsed);
     latency_ = latency_ > 0 ? latency_ + kLatencyGain / 4 * (took - latency_) : took;
     up.ejection = 0;
--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -19,6 +19,10 @@
       return "attempts_reset";
     case Outcome::kCancelled:
       return "attempts_called_off";
+    case Outcome::kSpoilt:
+      return "attempts_spoilt";
+    case Outcome::kUnfit:
+      return "attempts_unfit";
     case Outcome::kNotSent:
       break;
   }
--- a/src/net/flow.h
+++ b/src/net/flow.h
@@ -30,6 +30,7 @@
   int attempts = 0;
   int open = 0;               // attempts in flight
   bool may_have_run = false;  // an attempt ended in a way that does not prove the contrary
+  int unfit = 0;              // the status with which a real server found the request itself at fault
   std::unique_ptr<Timer> last_call;
 };
 
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -123,7 +123,10 @@
   if (answer.status == 200) return Outcome::kOk;
   const std::string* mark = answer.Find(kNotProcessed);
   const bool never_ran = mark != nullptr && *mark == "1" && (answer.status == 503 || answer.status == 504);
-  return never_ran ? Outcome::kRejected : Outcome::kError;
+  if (never_ran) return Outcome::kRejected;
+  // Too early, too slow or too many is said of the moment, not of the request.
+  const bool of_the_moment = answer.status == 408 || answer.status == 425 || answer.status == 429;
+  return answer.status / 100 == 4 && !of_the_moment ? Outcome::kUnfit : Outcome::kError;
 }
 
 std::optional<LoadReport> Platform::ReportIn(const Message& answer) const {
@@ -173,6 +176,10 @@
   return WriteAnswer(in_time ? 502 : 504, {}, "failed; it may have been carried out\n", keep_alive);
 }
 
+std::string Platform::UnfitAnswer(int status, bool keep_alive) {
+  return WriteAnswer(status, {}, "no real server takes this request\n", keep_alive);
+}
+
 std::string Platform::BadRequestAnswer(const BadRequest& bad) {
   return WriteAnswer(bad.status, {}, bad.why + "\n", bad.status == 404);
 }
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -66,6 +66,7 @@
   std::string ServedAnswer(const Message& answer, bool keep_alive) const;
   static std::string TurnDownAnswer(std::chrono::microseconds retry_after, bool keep_alive);
   static std::string FailedAnswer(bool in_time, bool keep_alive);
+  static std::string UnfitAnswer(int status, bool keep_alive);
   static std::string BadRequestAnswer(const BadRequest& bad);
   static std::string PageAnswer(int status, std::string_view body, bool keep_alive);
 
--- a/src/net/real_server.cpp
+++ b/src/net/real_server.cpp
@@ -114,7 +114,7 @@
   if (parsed == Parsed::kMore) return;
   if (parsed != Parsed::kComplete) {
     counters_.Add("answers_malformed");
-    return End(*exchange, exchange->written ? How::kBroken : How::kNotConnected);
+    return End(*exchange, exchange->written ? How::kSpoilt : How::kNotConnected);
   }
   Message answer = connection.parser.Take();
   if (answer.keep_alive && exchange->written && used == bytes.size()) {
--- a/src/net/real_server.h
+++ b/src/net/real_server.h
@@ -22,7 +22,8 @@
   enum class How {
     kAnswered,
     kNotConnected,  // refused, never up, or broken before the request's last byte was written
-    kBroken,        // broken after that, or the answer made no sense
+    kBroken,        // broken after that
+    kSpoilt,        // the answer made no sense, or is not the one that was asked for
     kTimedOut,      // no whole answer in time, though the request was written
     kNoRoom,        // not tried: every descriptor is in use
   };
--- a/src/net/send.cpp
+++ b/src/net/send.cpp
@@ -39,6 +39,8 @@
       return Outcome::kConnectFailed;
     case ExchangeEnd::How::kBroken:
       return Outcome::kReset;
+    case ExchangeEnd::How::kSpoilt:
+      return Outcome::kSpoilt;
     case ExchangeEnd::How::kTimedOut:
       return Outcome::kTimeout;
     case ExchangeEnd::How::kNoRoom:
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -122,6 +122,7 @@
 void Sidecar::AttemptEnded(AttemptResult result) {
   Flow* flow = flows_.Find(result.flow);
   book_.Note(flow, result.outcome);
+  if (flow != nullptr && result.outcome == Outcome::kUnfit) flow->unfit = result.answer.status;
   const bool served = flow != nullptr && result.outcome == Outcome::kOk;
   if (served) {
     relay_.Served(*flow, result.answer, closing_);
@@ -167,6 +168,7 @@
         const Outcome outcome = answered                        ? Platform::OutcomeOf(end.answer)
                                 : end.how == How::kNotConnected ? Outcome::kConnectFailed
                                 : end.how == How::kBroken       ? Outcome::kReset
+                                : end.how == How::kSpoilt       ? Outcome::kSpoilt
                                 : end.how == How::kTimedOut     ? Outcome::kTimeout
                                                                 : Outcome::kNotSent;
         decisions_.TellCheck(server, outcome, answered ? platform_.ReportInCheck(end.answer) : std::nullopt);
--- a/src/state.h
+++ b/src/state.h
@@ -33,6 +33,7 @@
     Micros served = 0;   // last call that went well
   };
   std::vector<ClassRecord> classes;
+  int spoilt = 0;  // answers in a row that could not be read
   Micros ejected_until = 0;
   Micros ejection = 0;    // length of the last ejection; 0: in good standing
   int cold_sends = 0;     // sends that a cold upstream may still get in this span
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -314,7 +314,7 @@
                                           testing::Values(Outcome::kError, Outcome::kRejected,
                                                           Outcome::kTimeout, Outcome::kConnectFailed,
                                                           Outcome::kReset, Outcome::kCancelled,
-                                                          Outcome::kNotSent),
+                                                          Outcome::kNotSent, Outcome::kSpoilt),
                                           testing::Values(WhereIs::kSameGroup, WhereIs::kElsewhere)));
 
 // --- Every request is answered once, in time, under random events ---
@@ -351,8 +351,8 @@
     if (what >= 35 && what < 75 && !d.outs.empty()) {
       static constexpr Outcome kAll[] = {Outcome::kOk,       Outcome::kOk,      Outcome::kError,
                                          Outcome::kRejected, Outcome::kTimeout, Outcome::kConnectFailed,
-                                         Outcome::kReset};
-      d.EndOut(random() % d.outs.size(), kAll[random() % 7], static_cast<double>(random() % 20));
+                                         Outcome::kReset,    Outcome::kSpoilt, Outcome::kUnfit};
+      d.EndOut(random() % d.outs.size(), kAll[random() % 9], static_cast<double>(random() % 20));
     }
     if (what == 75) list();
     d.Advance(static_cast<Micros>(random() % 20'000));
@@ -858,6 +858,42 @@
   for (UpstreamId u = 1; u <= 5; ++u) EXPECT_GT(d.SendsTo(u), 120) << u;
 }
 
+// Answers spoilt here and there, at every server alike: all stay in use. One that spoils each is left.
+TEST(HealthTest, SpoiltAnswersCostNoServerItsPlaceUnlessNothingElseComes) {
+  Driver d(BasicSettings());
+  d.List(Five());
+  std::mt19937 random(7);
+  int spoilt = 0;
+  Serve(
+      &d, 1000,
+      [&](UpstreamId u) {
+        const bool spoil = u == 1 ? d.now > 120 * kSecond : random() % 10 == 0;
+        spoilt += spoil && u == 1 ? 1 : 0;
+        return spoil ? Outcome::kSpoilt : Outcome::kOk;
+      },
+      [](UpstreamId) { return 6.0; });
+  for (UpstreamId u = 2; u <= 5; ++u) EXPECT_GT(d.SendsTo(u), 120) << u;
+  EXPECT_LT(spoilt, 40);
+}
+
+// A server says that the request itself is at fault: no other one is asked, no retry invited, nobody blamed.
+TEST(HealthTest, AnUnfitRequestFailsAtOnceAndSaysNothingOfItsServer) {
+  Settings s = BasicSettings();
+  s.max_retry_after = kSecond;
+  Driver d(s);
+  d.List(Many(2));
+  for (RequestId id = 1; id <= 40; ++id) {
+    d.Arrive(id);
+    d.Advance(1'000);
+    d.End(id, Outcome::kUnfit);
+    EXPECT_EQ(d.SendsOf(id), 1);
+    EXPECT_EQ(d.final_at[id], d.now);
+  }
+  EXPECT_EQ(d.failed.size(), 40u);
+  EXPECT_GT(d.SendsTo(1), 5);
+  EXPECT_GT(d.SendsTo(2), 5);
+}
+
 TEST(HealthTest, ASilentUpstreamIsGivenUpAndItsSafeCallsGoElsewhere) {
   Driver d(BasicSettings());
   d.List(Five());
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -84,7 +84,10 @@
       {504, {{"x-not-processed", "1"}}, Outcome::kRejected},
       {503, {{"X-Not-Processed", "0"}}, Outcome::kError},
       {503, {}, Outcome::kError},
-      {404, {}, Outcome::kError},
+      {400, {}, Outcome::kUnfit},
+      {404, {}, Outcome::kUnfit},
+      {408, {}, Outcome::kError},
+      {429, {}, Outcome::kError},
       {204, {}, Outcome::kError},
   };
   for (const auto& [status, headers, expected] : cases) {
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -115,6 +115,14 @@
   }
 }
 
+// Guards against trying everywhere what no real server takes, and against a client that is told to come back.
+TEST_CASE("a request that a real server finds unfit fails with its status, once", "[rules]") {
+  Site site(3);
+  site.Script([](Party::Peer& peer) { peer.Answer(400, ""); });
+  for (const std::string& request : {Look(), Hand()}) CHECK(site.Ask(request).status == 400);
+  CHECK(site.Requests() == 2);
+}
+
 // Guards against two attempts in flight: the first one's connection is closed before the next goes out.
 TEST_CASE("a silent attempt is closed before another one goes out", "[rules]") {
   Site site;
