End bad clients within 3 s, turn away open ids, and trust no byte beyond an answer

At fault: nothing knew the ids of open flows (Admit); kSlowest was 10 s and a connection that never sends was closed only under pressure, after answered ones (EdgeConnection::spare); TakeWarm reused a connection without looking whether more had come; FeedEnd took an answer that ends with its connection for whole; a begun answer could take all of a flow's time; one nonsense column let the others of a report pass; headers that Connection names, repeated ids and control characters were passed on; 1xx answers had no bound.

Each has a case in the parsers' tables or a test with real sockets. Buffers are smaller: 16 KiB a read and ahead.

--- a/src/net/admit.cpp
+++ b/src/net/admit.cpp
@@ -12,16 +12,21 @@
 
 }  // namespace
 
-Flow& Admit::operator()(EdgeConnection& edge, FlowRequest request) const {
-  Flow& flow = flows_.Add();
-  flow.request = std::move(request);
+Flow* Admit::operator()(EdgeConnection& edge, FlowRequest request) const {
+  // A real server tells requests apart by their ids: passed on, this one could get the other's answer.
+  if (flows_.Has(request.id)) {
+    counters_.Add("requests_of_open_id");
+    edge.Answer(Platform::BadRequestAnswer({409, "a request with this id is open"}), false);
+    return nullptr;
+  }
+  Flow& flow = flows_.Add(std::move(request));
   flow.edge = &edge;
   flow.taken = Clock::now();
   flow.deadline = flow.taken + flow.request.time_left - kTransit;
   edge.flow = flow.id;
   flow.last_call = std::make_unique<Timer>(loop_, [this, id = flow.id] { last_call_(id); });
   flow.last_call->Start(std::max<Span>(flow.deadline - kLastCall - flow.taken, 0ms));
-  return flow;
+  return &flow;
 }
 
 }  // namespace umberdyke::net
--- a/src/net/admit.h
+++ b/src/net/admit.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "net/counters.h"
 #include "net/flow.h"
 
 namespace umberdyke::net {
@@ -11,13 +12,15 @@
 class Admit {
  public:
   using LastCall = std::function<void(FlowId)>;
-  Admit(Loop& loop, FlowTable& flows, LastCall last_call)
-      : loop_(loop), flows_(flows), last_call_(std::move(last_call)) {}
-  Flow& operator()(EdgeConnection& edge, FlowRequest request) const;
+  Admit(Loop& loop, FlowTable& flows, Counters& counters, LastCall last_call)
+      : loop_(loop), flows_(flows), counters_(counters), last_call_(std::move(last_call)) {}
+  // Null where another open flow has the request's id: that one is answered here.
+  Flow* operator()(EdgeConnection& edge, FlowRequest request) const;
 
  private:
   Loop& loop_;
   FlowTable& flows_;
+  Counters& counters_;
   const LastCall last_call_;
 };
 
--- a/src/net/edge_connection.cpp
+++ b/src/net/edge_connection.cpp
@@ -5,10 +5,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span kSlowest = 10s;             // for the whole of a request, from its first byte
-constexpr Span kLinger = 1s;               // for the other side to read the last answer and close
-constexpr Span kFirstRequest = 1s;         // a new connection brings a request by then, or can be spared
-constexpr size_t kMostAhead = 128 * 1024;  // input kept for later while a request is out
+// A client that sends nothing, or no whole request, has its answer or its end within 3 s of connecting.
+constexpr Span kSlowest = 2500ms;         // for the whole of a request: from the connect, later from its first byte
+constexpr Span kLinger = 400ms;           // for the other side to read the last answer and close
+constexpr Span kFirstRequest = 400ms;     // a new connection brings a request by then, or is the first to be spared
+constexpr size_t kMostAhead = 16 * 1024;  // input kept for later while a request is out
 
 }  // namespace
 
@@ -18,10 +19,13 @@
 bool EdgeConnection::Accept(Listener& listener) {
   if (!stream_.Accept(listener.raw())) return false;
   stream_.Read();
+  patience_.Start(kSlowest);
   return true;
 }
 
-bool EdgeConnection::spare() const { return idle() && (answered_ || Clock::now() - rested_ > kFirstRequest); }
+bool EdgeConnection::silent() const {
+  return !answered_ && state_ == State::kReading && Clock::now() - rested_ > kFirstRequest;
+}
 
 void EdgeConnection::OnData(std::string_view bytes) {
   if (state_ == State::kLingering) return;
@@ -40,7 +44,7 @@
   const Parsed parsed = parser_.Feed(input_, &used);
   input_.erase(0, used);
   if (parsed == Parsed::kMore) {
-    if (!had_begun && parser_.begun()) patience_.Start(kSlowest);
+    if (!had_begun && parser_.begun() && answered_) patience_.Start(kSlowest);
     return;
   }
   patience_.Stop();
@@ -100,6 +104,7 @@
 void EdgeConnection::Late() {
   if (state_ == State::kLingering) return owner_.OnGone(*this);
   if (state_ != State::kReading) return;
+  if (idle()) return owner_.OnGone(*this);  // it never asked for anything
   state_ = State::kBusy;
   closing_ = true;
   owner_.OnSlowInput(*this);
--- a/src/net/edge_connection.h
+++ b/src/net/edge_connection.h
@@ -38,8 +38,10 @@
   void CloseWhenIdle();
   void Close() { stream_.Close(); }
   bool idle() const { return state_ == State::kReading && !parser_.begun() && input_.empty(); }
-  // Idle, and unlikely to have a request on its way: it has been answered, or silent since it came.
-  bool spare() const;
+  // Idle after an answer, so that it may be closed at no cost but a connect.
+  bool spare() const { return answered_ && idle(); }
+  // Has brought no whole request though it had the time for it: the first to be closed under pressure.
+  bool silent() const;
   Time rested() const { return rested_; }
   std::uint64_t flow = 0;  // the owner's note of the request that is out
 
--- a/src/net/flow.h
+++ b/src/net/flow.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "net/edge_connection.h"
 #include "net/loop.h"
@@ -36,23 +37,29 @@
 
 class FlowTable {
  public:
-  Flow& Add() {
+  Flow& Add(FlowRequest request) {
     auto flow = std::make_unique<Flow>();
     flow->id = ++last_;
+    flow->request = std::move(request);
+    ids_.insert(flow->request.id);
     return *(flows_[flow->id] = std::move(flow));
   }
+  bool Has(const std::string& request_id) const { return ids_.contains(request_id); }
   Flow* Find(FlowId id) {
     const auto it = flows_.find(id);
     return it == flows_.end() ? nullptr : it->second.get();
   }
   std::unique_ptr<Flow> Remove(FlowId id) {
     auto node = flows_.extract(id);
-    return node.empty() ? nullptr : std::move(node.mapped());
+    if (node.empty()) return nullptr;
+    ids_.erase(node.mapped()->request.id);
+    return std::move(node.mapped());
   }
   size_t size() const { return flows_.size(); }
 
  private:
   FlowId last_ = 0;
+  std::unordered_set<std::string> ids_;  // the clients' own, of the open flows
   std::unordered_map<FlowId, std::unique_ptr<Flow>> flows_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -100,7 +100,28 @@
   return 0;
 }
 
+// Guards against a request hidden in another's body and against lines smuggled into what is written on: a length
+// told twice or in two ways, a coding other than chunked, and control characters in a header.
+bool HttpParser::Ambiguous() const {
+  int lengths = 0;
+  int codings = 0;
+  for (const Header& header : message_.headers) {
+    const auto control = [](unsigned char c) { return (c < ' ' && c != '\t') || c == 127; };
+    if (std::any_of(header.value.begin(), header.value.end(), control)) return true;
+    lengths += SameName(header.name, "Content-Length") ? 1 : 0;
+    const bool coding = SameName(header.name, "Transfer-Encoding");
+    codings += coding ? 1 : 0;
+    if (coding && !SameName(header.value, "chunked")) return true;
+  }
+  return lengths + codings > 1;
+}
+
 int HttpParser::EndHead() {
+  if (Ambiguous()) {
+    failure_ = Parsed::kMalformed;
+    return -1;
+  }
+  parser_.upgrade = 0;  // no other protocol is spoken here: asking for one changes nothing
   message_.status = kind_ == Kind::kResponse ? static_cast<int>(parser_.status_code) : 0;
   if (kind_ == Kind::kRequest) message_.method = http_method_str(static_cast<http_method>(parser_.method));
   message_.keep_alive = http_should_keep_alive(&parser_) != 0;
@@ -116,8 +137,12 @@
 int HttpParser::EndMessage() {
   if (kind_ == Kind::kResponse &&
       parser_.status_code / 100 == 1) {  // an interim answer: the real one follows
+    if (++interim_ > kMostInterim) {
+      failure_ = Parsed::kMalformed;
+      return 1;
+    }
     message_ = Message();
-    head_done_ = in_value_ = false;
+    begun_ = head_done_ = in_value_ = false;
     return 0;
   }
   complete_ = true;
@@ -131,14 +156,6 @@
   return Finish(*used, bytes.size());
 }
 
-Parsed HttpParser::FeedEnd() {
-  static const http_parser_settings kCallbacks = Callbacks();
-  if (!begun_) return Parsed::kMore;
-  const size_t used = http_parser_execute(&parser_, &kCallbacks, nullptr, 0);
-  const Parsed result = Finish(used, 0);
-  return result == Parsed::kMore ? Parsed::kMalformed : result;
-}
-
 Parsed HttpParser::Finish(size_t used, size_t given) {
   if (failure_ != Parsed::kMore) return failure_;
   if (complete_) return Parsed::kComplete;
@@ -153,6 +170,7 @@
   message_ = Message();
   http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
   head_bytes_ = 0;
+  interim_ = 0;
   begun_ = in_value_ = head_done_ = complete_ = false;
   failure_ = Parsed::kMore;
   return message;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -14,6 +14,7 @@
 
 constexpr size_t kMostBody = 64 * 1024;
 constexpr size_t kMostHead = 16 * 1024;
+constexpr int kMostInterim = 8;  // 1xx answers in front of one answer
 
 struct Header {
   std::string name;
@@ -47,8 +48,6 @@
 
   // Takes bytes up to the end of one message; *used says how many. After kComplete, Take() and go on.
   Parsed Feed(std::string_view bytes, size_t* used);
-  // The connection ended: kComplete where that ends the message, kMore where none had begun.
-  Parsed FeedEnd();
   Message Take();
   bool begun() const { return begun_; }
   // Body bytes go there as they come, without a limit, instead of into the message.
@@ -62,6 +61,7 @@
   int TakeText(std::string* into, const char* at, size_t length);
   int TakeBody(const char* at, size_t length);
   int EndHead();
+  bool Ambiguous() const;
   int EndMessage();
   Parsed Finish(size_t used, size_t given);
 
@@ -70,6 +70,7 @@
   Message message_;
   std::function<void(std::string_view)> sink_;
   size_t head_bytes_ = 0;
+  int interim_ = 0;  // 1xx answers in front
   bool begun_ = false;
   bool in_value_ = false;
   bool head_done_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,8 @@
 #include "net/loop.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <new>
@@ -196,6 +199,13 @@
   return Wrote::kLater;
 }
 
+bool Stream::Quiet() const {
+  uv_os_fd_t fd = -1;
+  char byte = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return false;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Stream::EndSending() {
   auto request = std::make_unique<uv_shutdown_t>();
   const int status =
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -41,7 +41,7 @@
     buried_.push_back(std::shared_ptr<T>(std::move(object)));
   }
 
-  std::array<char, 65536>& read_buffer() { return read_buffer_; }
+  std::array<char, 16384>& read_buffer() { return read_buffer_; }
 
  private:
   void RunPosted();
@@ -54,7 +54,7 @@
   };
   std::vector<Task> posted_;
   std::vector<std::shared_ptr<void>> buried_;
-  std::array<char, 65536> read_buffer_;  // one read at a time: streams hand the bytes on before the next
+  std::array<char, 16384> read_buffer_;  // one read at a time: streams hand the bytes on before the next
 };
 
 // Fires once for each Start.
@@ -123,6 +123,8 @@
   enum class Wrote { kAll, kLater, kBroken };
   Wrote Write(std::string bytes);
   void EndSending();
+  // Nothing waits to be read, and the other side has not closed.
+  bool Quiet() const;
   void Close();
   bool open() const { return handle_ != nullptr; }
 
--- a/src/net/platform.cpp
+++ b/src/net/platform.cpp
@@ -24,6 +24,7 @@
 constexpr std::string_view kReady = "/-/ready";
 constexpr std::string_view kCounters = "/-/counters";
 constexpr std::int64_t kLongestWait = 3'600'000;  // an hour: beyond it a time is a mistake
+constexpr double kMostReported = 1e6;             // no real server holds or serves as many
 
 bool IsApi(std::string_view target) {
   if (target.substr(0, kApi.size()) != kApi) return false;
@@ -43,6 +44,25 @@
   return static_cast<int>(it - names.begin());
 }
 
+// Drops the headers that the sender's Connection header names: they hold for that connection only.
+void DropNamedByConnection(Message* message) {
+  std::vector<std::string> named;
+  for (const Header& header : message->headers) {
+    if (!SameName(header.name, "Connection")) continue;
+    std::string_view rest = header.value;
+    while (!rest.empty()) {
+      std::string_view part = rest.substr(0, rest.find(','));
+      rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+      while (!part.empty() && (part.front() == ' ' || part.front() == '\t')) part.remove_prefix(1);
+      while (!part.empty() && (part.back() == ' ' || part.back() == '\t')) part.remove_suffix(1);
+      named.emplace_back(part);
+    }
+  }
+  std::erase_if(message->headers, [&](const Header& header) {
+    return std::any_of(named.begin(), named.end(), [&](const auto& n) { return SameName(n, header.name); });
+  });
+}
+
 std::optional<std::chrono::microseconds> ExpectedWork(const std::string* figures) {
   static constexpr std::string_view kName = "expected_us=";
   std::string_view rest = figures == nullptr ? std::string_view() : std::string_view(*figures);
@@ -76,10 +96,20 @@
     if (message.method != "GET") return BadRequest{400, "this page takes GET"};
     return message.target == kReady ? Page::kReady : Page::kCounters;
   }
+  if (message.method == "CONNECT") return BadRequest{405, "this is no proxy"};
   if (!IsApi(message.target)) return BadRequest{404, "no such path"};
+  DropNamedByConnection(&message);
+  // Told twice, a real server might read the other one.
+  for (const char* once : {kId, kClass, kTenant, kTime, kKey}) {
+    const auto same = [once](const Header& header) { return SameName(header.name, once); };
+    if (std::count_if(message.headers.begin(), message.headers.end(), same) > 1) {
+      return BadRequest{400, std::string(once) + " comes more than once"};
+    }
+  }
   FlowRequest request;
   const std::string* id = message.Find(kId);
   if (id == nullptr || id->empty()) return BadRequest{400, std::string(kId) + " is missing"};
+  request.id = *id;
   const std::string* name = message.Find(kClass);
   const auto request_class = name ? NumberOf(config_.class_names, *name) : std::nullopt;
   if (!request_class) return BadRequest{400, std::string(kClass) + " is missing or unknown"};
@@ -100,7 +130,10 @@
   if (message.method != (repeat == Repeat::kSafe ? "GET" : "POST")) {
     return BadRequest{400, "the class does not take this method"};
   }
-  if (repeat == Repeat::kKeyed && message.Find(kKey) == nullptr) {
+  if (message.method == "GET" && !message.body.empty()) {
+    return BadRequest{400, "a request that is safe to repeat has no body"};
+  }
+  if (repeat == Repeat::kKeyed && (message.Find(kKey) == nullptr || message.Find(kKey)->empty())) {
     return BadRequest{400, std::string(kKey) + " is missing"};
   }
   const std::string* retried = message.Find(kRetried);
@@ -143,15 +176,14 @@
   if (config_.report_columns.empty()) return std::nullopt;
   const Json json = Json::parse(text, nullptr, false);
   if (!json.is_object()) return std::nullopt;
+  // One column that is missing or makes no sense spoils the others: averages forget nonsense only slowly.
   LoadReport report;
-  bool any = false;
   for (const std::string& column : config_.report_columns) {
     const double value = NumberIn(json, column.c_str(), -1);
-    if (value < 0) continue;
+    if (value < 0 || value > kMostReported) return std::nullopt;
     SetReported(column, value, &report);
-    any = true;
   }
-  return any ? std::optional(report) : std::nullopt;
+  return report;
 }
 
 std::string Platform::ServedAnswer(const Message& answer, bool keep_alive) const {
--- a/src/net/platform.h
+++ b/src/net/platform.h
@@ -19,6 +19,7 @@
 // A request as the chain knows it; `message` holds what passes on unchanged.
 struct FlowRequest {
   Message message;
+  std::string id;  // the client's own
   int request_class = 0;
   int tenant = 0;
   std::chrono::milliseconds time_left{};
--- a/src/net/real_server.cpp
+++ b/src/net/real_server.cpp
@@ -6,6 +6,14 @@
 namespace umberdyke::net {
 
 using How = ExchangeEnd::How;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Span kLongestAnswer = 250ms;  // from an answer's first byte to its last: at most 64 KiB, and all near
+constexpr Span kLeastRest = 1ms;        // what follows an answer by mistake comes right behind it
+
+}  // namespace
 
 struct RealServers::Connection : StreamUser {
   Connection(RealServers& o, ServerId s, const Address& a)
@@ -36,6 +44,7 @@
   Time until{};
   bool connecting = false;
   bool written = false;
+  bool answering = false;  // some of the answer has come
   std::unique_ptr<Connection> connection;
   Timer timer;
 };
@@ -109,15 +118,28 @@
 void RealServers::Data(Connection& connection, std::string_view bytes) {
   Exchange* exchange = connection.exchange;
   if (exchange == nullptr) return Ended(connection);  // nothing was asked: not to be trusted any more
+  // What comes before the request has gone out whole belongs to something else.
+  if (!exchange->written) {
+    counters_.Add("answers_unasked");
+    return End(*exchange, How::kNotConnected);
+  }
   size_t used = 0;
   const Parsed parsed = connection.parser.Feed(bytes, &used);
-  if (parsed == Parsed::kMore) return;
+  if (parsed == Parsed::kMore) {
+    if (connection.parser.begun() && !exchange->answering) {
+      exchange->answering = true;
+      exchange->timer.Start(std::clamp<Span>(exchange->until - Clock::now(), 0ms, kLongestAnswer));
+    }
+    return;
+  }
   if (parsed != Parsed::kComplete) {
     counters_.Add("answers_malformed");
-    return End(*exchange, exchange->written ? How::kSpoilt : How::kNotConnected);
+    return End(*exchange, How::kSpoilt);
   }
   Message answer = connection.parser.Take();
-  if (answer.keep_alive && exchange->written && used == bytes.size()) {
+  // More than the answer is no part of it, but nothing that follows on this connection can be trusted.
+  if (used < bytes.size()) counters_.Add("answers_with_excess");
+  if (answer.keep_alive && used == bytes.size()) {
     connection.exchange = nullptr;
     connection.rested = Clock::now();
     idle_[connection.server].push_back(std::move(exchange->connection));
@@ -127,10 +149,7 @@
 
 void RealServers::Ended(Connection& connection) {
   if (Exchange* exchange = connection.exchange; exchange != nullptr) {
-    // An answer without a length ends with its connection.
-    if (exchange->written && connection.parser.FeedEnd() == Parsed::kComplete) {
-      return End(*exchange, How::kAnswered, connection.parser.Take());
-    }
+    // An answer without a length ends here too, but whether it is whole cannot be known.
     return End(*exchange, exchange->written ? How::kBroken : How::kNotConnected);
   }
   auto& idle = idle_[connection.server];
@@ -152,6 +171,10 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
   if (it->second->connecting) counters_.Add("connect_timeouts");
+  if (it->second->answering && Clock::now() < it->second->until) {
+    counters_.Add("answers_unfinished");
+    return End(*it->second, How::kSpoilt);
+  }
   End(*it->second, it->second->written ? How::kTimedOut : How::kNotConnected);
 }
 
@@ -185,14 +208,18 @@
   return Clock::now() - connection.rested < limits_.idle - margin;
 }
 
-// The newest: the others may then rest until they are swept.
+// The newest: the others may then rest until they are swept. Guards against the rest of an earlier answer being
+// read as the next one: a connection that has more to read is closed, and one that has hardly rested left alone.
 std::unique_ptr<RealServers::Connection> RealServers::TakeWarm(ServerId server, const Address& address) {
   const auto it = idle_.find(server);
-  while (it != idle_.end() && !it->second.empty()) {
-    std::unique_ptr<Connection> connection = std::move(it->second.back());
-    it->second.pop_back();
+  if (it == idle_.end()) return nullptr;
+  auto& idle = it->second;
+  for (size_t i = idle.size(); i-- > 0;) {
+    if (Clock::now() - idle[i]->rested < kLeastRest) continue;
+    std::unique_ptr<Connection> connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     const bool same = std::memcmp(&connection->address, &address, sizeof address) == 0;
-    if (same && Fresh(*connection)) return connection;
+    if (same && Fresh(*connection) && connection->stream.Quiet()) return connection;
     Discard(std::move(connection));
   }
   return nullptr;
@@ -220,11 +247,13 @@
 }
 
 void RealServers::Sweep() {
-  for (auto& [server, idle] : idle_) {
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    auto& idle = it->second;
     while (!idle.empty() && !Fresh(*idle.front())) {
       Discard(std::move(idle.front()));
       idle.erase(idle.begin());
     }
+    it = idle.empty() ? idle_.erase(it) : std::next(it);  // servers come and go, and their numbers with them
   }
 }
 
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -10,6 +10,7 @@
 
 constexpr Span kServeOn = 800ms;  // after the notice to end: connections still come, and requests on them
 constexpr Span kTick = 1s;
+constexpr Span kAcceptAgain = 50ms;  // while clients wait for a connection to be spared
 constexpr Span kCheckTime = 200ms;
 // Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery.
 constexpr int kOtherDescriptors = 48;
@@ -31,13 +32,14 @@
       servers_(loop, ServerLimits(config_), counters_),
       decisions_(loop, config_, counters_, *this),
       take_in_(platform_, counters_),
-      admit_(loop, flows_, [this](FlowId flow) { LastCall(flow); }),
+      admit_(loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); }),
       route_(entry_, config_.settings),
       send_(servers_, route_, platform_, counters_, config_.settings.parallel_attempts,
             [this](AttemptResult result) { AttemptEnded(std::move(result)); }),
       relay_(platform_, config_.settings, counters_),
       book_(loop, flows_, platform_, decisions_, counters_),
       listener_(loop, [this] { AcceptWaiting(); }),
+      accept_timer_(loop, [this] { OnRested(); }),
       close_timer_(loop, [this] { CloseEdges(); }),
       tick_(loop, [this] { Tick(); }) {
   if (const std::string error = listener_.Listen(config_.listen); !error.empty()) {
@@ -52,11 +54,16 @@
 void Sidecar::Told(const ListChange& change) {
   if (change.kind == ListUpdate::kFailed) log_->warn("the watch on discovery broke: {}", change.why);
   decisions_.TellList(change);
+  // What leaves gets nothing new: connections at rest there only hold descriptors.
+  for (const ListChange::Entry& entry : change.entries) {
+    if (!route_.Open(entry.server)) servers_.CloseIdle(entry.server);
+  }
 }
 
 void Sidecar::AcceptWaiting() {
   if (static_cast<int>(edges_.size()) >= EdgeLimit(config_) && !ShedOldestEdge()) {
-    accept_waits_ = true;  // it stays in the kernel's queue until a connection closes
+    accept_waits_ = true;  // it stays in the kernel's queue until a connection can be spared
+    accept_timer_.Start(kAcceptAgain);
     return;
   }
   accept_waits_ = false;
@@ -69,10 +76,13 @@
   edges_.emplace(edge.get(), std::move(edge));
 }
 
+// Guards the usual clients against those that open connections by the hundred and send nothing: these go first.
 bool Sidecar::ShedOldestEdge() {
   EdgeConnection* oldest = nullptr;
   for (const auto& [edge, owned] : edges_) {
-    if (edge->spare() && (oldest == nullptr || edge->rested() < oldest->rested())) oldest = edge;
+    if (!edge->spare() && !edge->silent()) continue;
+    const auto rank = [](const EdgeConnection& e) { return std::pair(!e.silent(), e.rested()); };
+    if (oldest == nullptr || rank(*edge) < rank(*oldest)) oldest = edge;
   }
   if (oldest == nullptr) return false;
   counters_.Add("edges_shed");
@@ -83,7 +93,7 @@
 void Sidecar::OnRequest(EdgeConnection& edge, Message message) {
   std::optional<FlowRequest> request = take_in_(edge, std::move(message), draining_);
   if (!request) return;
-  decisions_.TellFlow(admit_(edge, std::move(*request)));
+  if (Flow* flow = admit_(edge, std::move(*request)); flow != nullptr) decisions_.TellFlow(*flow);
 }
 
 // Clients that wait in the kernel's queue get their turn once a connection can be spared.
--- a/src/net/sidecar.h
+++ b/src/net/sidecar.h
@@ -85,6 +85,7 @@
   bool draining_ = false;  // told to end
   bool closing_ = false;   // and new connections come no more
   std::function<void()> drained_;
+  Timer accept_timer_;
   Timer close_timer_;
   Timer tick_;
 };
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -47,6 +47,12 @@
       {Look("-5"), 400},
       {Hand("look"), 400},
       {Hand("unheard-of"), 400},
+      {"CONNECT a:1 HTTP/1.1\r\n\r\n", 405},
+      {Look("4000\r\nX-Request-ID: a2"), 400},
+      {Look("4000\r\nX-Timeout-Ms: 5000"), 400},
+      {Look("4000\r\nConnection: close, x-request-id"), 400},
+      {Look("4000\r\nContent-Length: 2") + "ok", 400},
+      {Look("99999999999999999999"), 400},
   };
   for (const auto& [text, status] : cases) {
     INFO(text.substr(0, 80));
@@ -143,6 +149,70 @@
   CHECK(site.Until([&] { return first->ended; }));
 }
 
+// Guards against serving one client with the answer made for another: real servers know requests by their ids.
+TEST_CASE("an id that is open in another flow is turned away and not passed on", "[rules]") {
+  Site site(1);
+  Party::Peer* held = nullptr;
+  site.Script([&](Party::Peer& peer) { held = &peer; });
+  const auto first = site.Connect();
+  first->Send(Hand());
+  REQUIRE(site.Until([&] { return held != nullptr; }));
+  CHECK(site.Ask(Hand()).status == 409);
+  CHECK(site.Requests() == 1);
+  held->Answer(200, "done");
+  REQUIRE(site.Until([&] { return !first->answers.empty(); }));
+  site.Script([](Party::Peer& peer) { peer.Answer(200, "anew"); });
+  CHECK(site.Ask(Hand()).body == "anew");  // once answered, the id is nobody's any more
+}
+
+// Guards against the end of one answer being read as the next one's beginning.
+TEST_CASE("what follows an answer is never another flow's answer", "[rules]") {
+  Site site(1);
+  const std::string copy = WriteAnswer(200, {}, "first", true);
+  site.Script([&](Party::Peer& peer) {
+    peer.Reply(site.Requests() == 1 ? copy : WriteAnswer(200, {}, "second", true));
+  });
+  CHECK(site.Ask(Look()).body == "first");
+  REQUIRE(site.real[0]->peers.size() == 1);
+  site.real[0]->peers[0]->Reply(copy);  // unread when the next flow looks for a connection
+  const auto client = site.Connect();
+  client->Send(Hand());
+  REQUIRE(site.Until([&] { return !client->answers.empty(); }));
+  CHECK(client->answers[0].body == "second");
+  CHECK(site.real[0]->peers.size() == 2);
+}
+
+// Guards against waiting to the end of a flow's time for an answer that was begun and never ends.
+TEST_CASE("an answer that is not finished soon is spoilt, and the flow goes elsewhere", "[rules]") {
+  Site site(2);
+  site.Script([&](Party::Peer& peer) {
+    if (site.Requests() > 1) return peer.Answer(200, "whole");
+    peer.Reply("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nshort");
+  });
+  CHECK(site.Ask(Look()).body == "whole");
+  CHECK(site.sidecar->counters().Of("attempts_spoilt") == 1);
+}
+
+// Guards against clients that hold descriptors and send nothing, or never the end of a request.
+TEST_CASE("silent and slow clients get an error or a close within 3 s, and room is made for others", "[rules]") {
+  Site site(1, 64);
+  site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
+  const Time start = Clock::now();
+  const auto slow = site.Connect();
+  slow->Send("POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+  std::vector<std::unique_ptr<Client>> silent;
+  for (int i = 0; i < 30; ++i) silent.push_back(site.Connect());
+  const auto usual = site.Connect();
+  usual->Send(Look());
+  REQUIRE(site.Until([&] { return !usual->answers.empty(); }));
+  CHECK(Clock::now() - start < 2s);
+  REQUIRE(site.Until([&] {
+    return std::all_of(silent.begin(), silent.end(), [](const auto& c) { return c->ended; }) && slow->ended;
+  }));
+  CHECK(Clock::now() - start < 5s);
+  CHECK_FALSE(usual->ended);
+}
+
 // Guards against a client that hears nothing: an answer leaves in time though the real server is silent.
 TEST_CASE("a silent real server costs no client its answer", "[rules]") {
   Site site(1);
@@ -171,8 +241,11 @@
 TEST_CASE("connections are kept warm, and dropped once the real server closes them", "[rules]") {
   Site site(1);
   site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
+  const auto rest = [&] { site.loop.RunUntil([] { return false; }, 20ms); };
   CHECK(site.Ask(Look()).status == 200);
+  rest();
   CHECK(site.Ask(Look()).status == 200);
+  rest();
   CHECK(site.real[0]->peers.size() == 1);
   site.real[0]->peers[0]->stream.Close();
   CHECK(site.Ask("GET /-/counters HTTP/1.1\r\n\r\n").status == 200);
