Let more in at the start and close the gap between classes in admission

A trace of the module each second had the limit at 6 to 7.5 for 21 to 25 requests a second of half a second each, took 0.2 s of 0.7 s allowed: the limit, not the time taken. Ruled out: shut kin, want of time, the draw by time taken (0 or 1 of 8 to 12).

At fault in src/choice.cpp: kStartPerUpstream 3 with growth only by answers, kThroughputTime 1.5 s, kSpread 0.5 (the cheaper class at 0.67 of the limit), and a mean latency begun from the first, quick answer, by which silence is judged.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -61,11 +61,11 @@
 constexpr double kOverQuiet = 1.6;         // or this multiple of the quiet answer time, where that is longer
 constexpr double kMostOverQuiet = 2.5;     // nor a larger multiple: servers choke by what they hold
 constexpr double kMostOfAim = 0.6;         // but never more of the aim: a crowded start passes for quiet
-constexpr double kThroughputTime = 1.5e6;  // memory of the rate of answers
+constexpr double kThroughputTime = 1e6;    // memory of the rate of answers
 constexpr double kSteadyGain = 0.02;       // the quiet answer time is the least of a mean this steady
 constexpr double kQuietRise = 1.002;       // a step up of the quiet answer time: it forgets in half a minute
-constexpr double kStartPerUpstream = 3;    // in hand before any answer, for each upstream, over all balancers
-constexpr double kStartGrowth = 0.3;       // room that each of the first answers makes beyond its own
+constexpr double kStartPerUpstream = 6;    // in hand before any answer, for each upstream, over all balancers
+constexpr double kStartGrowth = 0.1;       // room that each of the first answers makes beyond its own
 constexpr double kAnswersFirst = 50;       // answers that make the start: the first are the quick ones
 constexpr double kAnswersTell = 12;        // answers after which the time taken tells a crowd from chance
 constexpr double kLimitSlack = 2;      // chance crowds of a few in hand: so many roots of the limit, and 1
@@ -76,7 +76,7 @@
 constexpr double kMostRefused = 0.95;  // always let some work through: without answers nothing is learnt
 constexpr double kBackAfter = 0.2;  // the refused are asked back after this share of the aim, or half off it
 constexpr double kQuietRoom = 1.2;  // no class is refused below this multiple of the quiet answer time
-constexpr double kSpread = 0.5;     // the worthless are refused at this share below the limit
+constexpr double kSpread = 0.3;     // the worthless are refused at this share below the limit
 // --- Housekeeping ---
 constexpr Micros kHousekeeping = 100'000;  // pace of windows, limits and stalled checks
 constexpr std::uint64_t kHousekeepingToken = std::uint64_t{1} << 60;
@@ -866,7 +866,8 @@
   void Served(Upstream& up, const AttemptEnd& end, const Held* held) {
     up.spoilt = 0;
     const double took = static_cast<double>(end.elapsed);
-    latency_ = latency_ > 0 ? latency_ + kLatencyGain / 4 * (took - latency_) : took;
+    // Of the first few the plain mean: the first answers are the quick ones, and silence is judged by it.
+    latency_ += std::max(kLatencyGain / 4, 1 / (answers_seen_ + answered_ + 1)) * (took - latency_);
     up.ejection = 0;
     up.ejected_until = 0;
     if (!IsCold(up)) ++served_;
