Forget servers that have long gone, and give unsent requests up before half their time

A client that does not read its answer held its edge connection for good (kWriting had no timer). The log had a line for every failed watch.

Checked: attempts keep the zone and cell of their server themselves, as InGroup read them from a place that may now be another's; numbers of servers are not used again towards the module; a place is vacant only with no call out. The test with 5,000 servers holds the heap; the one for half the time fails with the old share.

--- a/include/umberdyke/balancer.h
+++ b/include/umberdyke/balancer.h
@@ -174,7 +174,8 @@
   Balancer(Balancer&&) noexcept;
   Balancer& operator=(Balancer&&) noexcept;
 
-  // An empty complete list leaves nobody to send to: requests wait for half of their time, then are answered.
+  // An empty complete list leaves nobody to send to: requests wait for nearly half of their time, then are
+  // answered.
   void OnList(Micros now, ListUpdate kind, const std::vector<UpstreamEntry>& entries, Actions* out);
   // No time left, or less than an answer takes: answered at once. An unknown class throws
   // std::invalid_argument.
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -22,6 +22,7 @@
 constexpr double kHeadroom = 2.5;     // capacity over the mean count: one at the mean mints every second time
 constexpr double kCapacityFloor = 4;  // a few requests are no load, whatever the mean says
 constexpr Micros kWindow = 10'000'000;  // window of the mean; 30 s spans whole incidents
+constexpr int kGoneWindows = 3;         // after so many windows a server that has gone is forgotten
 constexpr int kRedraws = 6;             // draws for one of the two, then the fallback
 constexpr size_t kFamiliarCalls = 12;   // own sends within which a server must have served to be familiar
 constexpr double kTrials = 0.04;        // share of thin picks that go to any server, near or far, as a trial
@@ -84,6 +85,7 @@
 constexpr std::uint64_t kHeldToken = kHousekeepingToken + 2;
 constexpr std::uint64_t kAnswersToken = kHousekeepingToken + 3;
 constexpr Micros kHeldPace = 20'000;  // how often held requests look for a server
+constexpr double kWaitShare = 0.45;   // and for how much of their time: from half on an unsent one costs more
 constexpr Micros kFirstAskDelay = 500'000;
 constexpr double kRateTime = 8e6;  // memory of the rate that warm upstreams take
 
@@ -238,7 +240,12 @@
   // Takes one line of a list. A new start of a known id is a new server: nothing learnt of the old one holds.
   int Merge(const UpstreamEntry& entry) {
     auto [it, is_new] = index_.try_emplace(entry.id, static_cast<int>(upstreams_.size()));
-    if (is_new) upstreams_.emplace_back();
+    if (is_new && !vacant_.empty()) {
+      it->second = vacant_.back();
+      vacant_.pop_back();
+    } else if (is_new) {
+      upstreams_.emplace_back();
+    }
     Upstream& up = upstreams_[it->second];
     const bool restarted = !is_new && entry.ready_at > up.entry.ready_at;
     if (is_new || restarted) {
@@ -267,6 +274,22 @@
     return it->second;
   }
 
+  // Guards the memory against servers that are replaced all day: one that is long gone, with no call out, is
+  // forgotten, and its place is free for another.
+  void ForgetIfLongGone(int u) {
+    Upstream& up = upstreams_[u];
+    if (up.vacant) return;
+    up.gone_windows = up.entry.state == UpstreamState::kGone ? up.gone_windows + 1 : 0;
+    if (up.gone_windows <= kGoneWindows || up.in_flight > 0) return;
+    index_.erase(up.entry.id);
+    std::erase(lately_served_, u);
+    std::erase(holders_, u);
+    up = Upstream();
+    up.entry.state = UpstreamState::kGone;
+    up.vacant = true;
+    vacant_.push_back(u);
+  }
+
   // Where only draining binds, the list is one witness among others: what was in good standing is sent to
   // until a call or check there fails. Guards against lists that are emptied, cut short or old.
   void TakeGone(Upstream& up) {
@@ -569,8 +592,7 @@
     if (c.repeat != Repeat::kKeyed || c.group == Group::kAll) return true;
     for (const Attempt& a : held.attempts) {
       if (!a.may_have_run) continue;
-      const UpstreamEntry& first = upstreams_[a.upstream].entry;
-      if (c.group == Group::kZone ? first.zone != up.entry.zone : first.cell != up.entry.cell) return false;
+      if (c.group == Group::kZone ? a.zone != up.entry.zone : a.cell != up.entry.cell) return false;
     }
     return true;
   }
@@ -621,6 +643,8 @@
     attempt.upstream = u;
     attempt.sent = now_;
     attempt.ready_at = up.entry.ready_at;
+    attempt.zone = up.entry.zone;
+    attempt.cell = up.entry.cell;
     held.attempts.push_back(attempt);
     ++held.open;
     held.waiting = false;
@@ -631,7 +655,8 @@
 
   // Nobody may be sent to just now: hold the request for a part of its time.
   void Wait(RequestId id, Held& held) {
-    if (!MaySend(held) || now_ >= held.arrived + held.request.time_left / 2 || !TimeForOne(held)) {
+    const auto most = static_cast<Micros>(kWaitShare * static_cast<double>(held.request.time_left));
+    if (!MaySend(held) || now_ >= held.arrived + most || !TimeForOne(held)) {
       Conclude(id);
       return;
     }
@@ -997,6 +1022,7 @@
       up.window_sum = 0;
       up.window_reports = 0;
     }
+    for (size_t u = 0; u < upstreams_.size(); ++u) ForgetIfLongGone(static_cast<int>(u));
   }
 
   // The mean count of all upstreams: of the last windows, or of this one until there is one.
--- a/src/net/edge_connection.cpp
+++ b/src/net/edge_connection.cpp
@@ -7,6 +7,7 @@
 
 // A client that sends nothing, or no whole request, has its answer or its end within 3 s of connecting.
 constexpr Span kSlowest = 2500ms;         // for the whole of a request: from the connect, later from its first byte
+constexpr Span kLongestWrite = 10s;       // for a client to read an answer; longer than any waits for one
 constexpr Span kLinger = 400ms;           // for the other side to read the last answer and close
 constexpr Span kFirstRequest = 400ms;     // a new connection brings a request by then, or is the first to be spared
 constexpr size_t kMostAhead = 16 * 1024;  // input kept for later while a request is out
@@ -64,6 +65,8 @@
   const Stream::Wrote wrote = stream_.Write(std::move(bytes));
   if (wrote == Stream::Wrote::kAll) {
     Finish();
+  } else if (wrote == Stream::Wrote::kLater) {
+    patience_.Start(kLongestWrite);
   } else if (wrote == Stream::Wrote::kBroken) {
     loop_.Post(alive_, [this] {
       if (stream_.open()) owner_.OnGone(*this);
@@ -78,6 +81,7 @@
 
 // A connection that is closed with input unread would take its last answer along: it lingers instead.
 void EdgeConnection::Finish() {
+  patience_.Stop();
   stream_.Read();
   answered_ = true;
   rested_ = Clock::now();
@@ -102,7 +106,7 @@
 }
 
 void EdgeConnection::Late() {
-  if (state_ == State::kLingering) return owner_.OnGone(*this);
+  if (state_ == State::kLingering || state_ == State::kWriting) return owner_.OnGone(*this);
   if (state_ != State::kReading) return;
   if (idle()) return owner_.OnGone(*this);  // it never asked for anything
   state_ = State::kBusy;
--- a/src/net/service_entry.cpp
+++ b/src/net/service_entry.cpp
@@ -144,22 +144,35 @@
 void ServiceEntry::Take(const ListedChange& listed, ListUpdate kind) {
   for (int i = 0; i < listed.unreadable; ++i) counters_.Add("discovery_unreadable");
   ListChange change{kind, {}, {}};
-  std::vector<bool> named(servers_.size(), false);
+  const auto set = [now = Clock::now()](ServerRecord& record, UpstreamState state) {
+    if (state == UpstreamState::kGone && record.state != UpstreamState::kGone) record.gone = now;
+    record.state = state;
+  };
+  std::unordered_set<ServerId> named;
   for (const ListedServer& server : listed.servers) {
-    const auto [it, is_new] = numbers_.try_emplace(server.id, static_cast<ServerId>(servers_.size()));
-    if (is_new) servers_.push_back({server.id, server.address, server.state});
+    const auto [it, is_new] = numbers_.try_emplace(server.id, next_);
+    if (is_new) servers_[next_++] = {server.id, server.address, UpstreamState::kReady, {}};
     ServerRecord& record = servers_[it->second];
     if (server.address.ss_family != AF_UNSPEC) record.address = server.address;
-    record.state = server.state;
-    if (it->second < named.size()) named[it->second] = true;
+    set(record, server.state);
+    named.insert(it->second);
     change.entries.push_back({it->second, server});
   }
-  for (size_t i = 0; kind != ListUpdate::kChanges && i < named.size(); ++i) {
-    if (!named[i]) servers_[i].state = UpstreamState::kGone;
+  for (auto& [number, record] : servers_) {
+    if (kind != ListUpdate::kChanges && !named.contains(number)) set(record, UpstreamState::kGone);
   }
   told_(change);
 }
 
+void ServiceEntry::Forget(Time gone_before) {
+  std::erase_if(servers_, [&](const auto& item) {
+    const ServerRecord& record = item.second;
+    if (record.state != UpstreamState::kGone || record.gone >= gone_before) return false;
+    numbers_.erase(record.id);
+    return true;
+  });
+}
+
 void ServiceEntry::Broken(const char* why) {
   Drop(watch_);
   counters_.Add("discovery_broken");
--- a/src/net/service_entry.h
+++ b/src/net/service_entry.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "net/counters.h"
@@ -22,6 +23,7 @@
   std::string id;
   Address address{};
   UpstreamState state = UpstreamState::kReady;
+  Time gone{};  // when the list told that it has gone
 };
 
 struct ListChange {
@@ -76,8 +78,12 @@
   void MoveTo(const Address& discovery);
   // Null for a number that no list gave.
   const ServerRecord* Find(ServerId server) const {
-    return server < servers_.size() ? &servers_[server] : nullptr;
+    const auto it = servers_.find(server);
+    return it == servers_.end() ? nullptr : &it->second;
   }
+  size_t size() const { return servers_.size(); }
+  // Lets go of servers that have long gone: they are replaced all day, by others with other ids.
+  void Forget(Time gone_before);
 
  private:
   void Ask();
@@ -91,8 +97,9 @@
   Address discovery_;
   Counters& counters_;
   const Told told_;
-  std::vector<ServerRecord> servers_;
+  std::unordered_map<ServerId, ServerRecord> servers_;
   std::unordered_map<std::string, ServerId> numbers_;
+  ServerId next_ = 0;  // numbers are not used again
   std::int64_t version_ = 0;
   bool wanted_ = false;
   std::unique_ptr<ListWatch> watch_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -10,6 +10,7 @@
 
 constexpr Span kServeOn = 800ms;  // after the notice to end: connections still come, and requests on them
 constexpr Span kTick = 1s;
+constexpr Span kForget = 60s;  // after this a server that has gone is nobody's business any more
 constexpr Span kAcceptAgain = 50ms;  // while clients wait for a connection to be spared
 constexpr Span kCheckTime = 200ms;
 // Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery.
@@ -52,7 +53,12 @@
 Sidecar::~Sidecar() = default;
 
 void Sidecar::Told(const ListChange& change) {
-  if (change.kind == ListUpdate::kFailed) log_->warn("the watch on discovery broke: {}", change.why);
+  // One line for a run of failures and one for its end: discovery may be down for days.
+  if (change.kind == ListUpdate::kFailed) {
+    if (watch_failures_++ == 0) log_->warn("the watch on discovery broke: {}", change.why);
+  } else if (watch_failures_ > 0) {
+    log_->info("discovery tells again, after {} failures", std::exchange(watch_failures_, 0));
+  }
   decisions_.TellList(change);
   // What leaves gets nothing new: connections at rest there only hold descriptors.
   for (const ListChange::Entry& entry : change.entries) {
@@ -187,6 +193,7 @@
 
 void Sidecar::Tick() {
   servers_.Sweep();
+  entry_.Forget(Clock::now() - kForget);
   OnRested();
   tick_.Start(kTick);
 }
--- a/src/net/sidecar.h
+++ b/src/net/sidecar.h
@@ -81,6 +81,7 @@
   const Book book_;
   Listener listener_;
   std::unordered_map<EdgeConnection*, std::unique_ptr<EdgeConnection>> edges_;
+  int watch_failures_ = 0;  // in a row
   bool accept_waits_ = false;
   bool draining_ = false;  // told to end
   bool closing_ = false;   // and new connections come no more
--- a/src/state.h
+++ b/src/state.h
@@ -40,12 +40,16 @@
   Micros cold_until = 0;  // end of the span
   bool unlisted = false;  // no longer in the list, but not known to be gone
   bool holder = false;    // stands in holders_
+  int gone_windows = 0;   // full windows since it has gone
+  bool vacant = false;    // forgotten: its place waits for another
 };
 
 struct Attempt {
   int upstream = kNone;
   Micros sent = 0;
   Micros ready_at = 0;  // which life of the upstream it went to
+  int zone = 0;         // of the upstream, which may be forgotten before the request is
+  int cell = 0;
   bool open = true;
   bool may_have_run = true;
   bool called_off = false;
@@ -107,7 +111,8 @@
  protected:
   using HeldMap = std::unordered_map<RequestId, Held>;
 
-  std::vector<Upstream> upstreams_;            // in list order; entries are never removed
+  std::vector<Upstream> upstreams_;            // in list order; places of the forgotten are used again
+  std::vector<int> vacant_;                    // those places
   std::unordered_map<UpstreamId, int> index_;  // never iterated
   std::vector<int> ready_;                     // those that may be sent to, in list order
   std::vector<int> near_;                      // those of them in the own zone
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <cmath>
@@ -394,10 +395,14 @@
   EXPECT_EQ(d.finals[1], 0);
   d.List({Entry(1)});
   EXPECT_EQ(d.SendsOf(1), 1);
-  Driver empty(BasicSettings());
+  Settings late = BasicSettings();
+  late.classes[0].late_share = 1;
+  Driver empty(late);
   empty.Arrive(1);
+  const Micros half = empty.now + 3 * kSecond;
   empty.Advance(6 * kSecond);
   EXPECT_EQ(empty.finals[1], 1);
+  EXPECT_LT(empty.final_at[1], half - 200'000) << "unsent, it is given up before half of its time is over";
 }
 
 // Late answers earn nothing, so an attempt is cut at the aim; not where the aim grows with work that is
@@ -538,6 +543,28 @@
 }
 
 // A list of long ago comes again and then the true one: what was learnt of a server since its start holds.
+// Servers replaced all day by ones with new ids: what is kept of them must not grow, and the living stay in use.
+TEST(ListTest, ServersLongGoneAreForgotten) {
+  Driver d(BasicSettings());
+  const auto day = [&](UpstreamId from, UpstreamId to) {
+    for (UpstreamId id = from; id < to; ++id) {
+      d.List({Entry(id), Entry(id + 1), Entry(id + 2)});
+      d.Arrive(id, kSecond);
+      d.Advance(100'000);
+      d.End(id, Outcome::kOk);
+      d.Advance(900'000);
+    }
+  };
+  day(1, 200);
+  const auto before = mallinfo2().uordblks;
+  const size_t sends = d.sent_to.size();
+  day(200, 5'200);
+  EXPECT_EQ(d.sent_to.size(), sends + 5'000);
+  for (size_t i = sends; i < d.sent_to.size(); ++i) EXPECT_LE(d.sent_to[i] - d.sent_ids[i], 2u);
+  // The driver's own notes take some 300 bytes a request; a server that is kept takes more.
+  EXPECT_LT(mallinfo2().uordblks, before + 5'000 * 450);
+}
+
 TEST(DrainTest, AnOldListUnlearnsNoStart) {
   Driver d(BasicSettings());
   const Micros started = d.now - 30 * kSecond;
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -269,6 +269,32 @@
   CHECK(site.real[1]->requests == 20);
 }
 
+// Guards the memory on long days: servers come and go with new ids, some at the address of one that has gone.
+TEST_CASE("servers that have gone are forgotten, and their addresses are new ones' to use", "[rules]") {
+  Site site(1);
+  site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
+  Loop loop;
+  Counters counters;
+  const Config config = ParseConfig(ConfigText("127.0.0.1:1", "null"), NoEnvironment());
+  const Platform platform(config);
+  ServiceEntry entry(loop, platform, config.discovery, counters, [](const ListChange&) {});
+  for (int i = 0; i < 1000; ++i) {
+    entry.TakeKnown(ListText(i, true, {ServerLine("s" + std::to_string(i), "127.0.0.1:9")}));
+    entry.Forget(Clock::now() + 1s);
+  }
+  CHECK(entry.size() == 1);
+  REQUIRE(entry.Find(999) != nullptr);
+  CHECK(entry.Find(999)->id == "s999");
+  CHECK(entry.Find(0) == nullptr);
+
+  CHECK(site.Ask(Look()).status == 200);
+  const std::string address = site.real[0]->address();
+  site.Tell(ListText(2, false, {ServerLine("s0", address, "gone"), ServerLine("new", address)}));
+  REQUIRE(site.Until([&] { return site.real[0]->peers[0]->ended; }));  // the old one's connection
+  CHECK(site.Ask(Look()).status == 200);
+  CHECK(site.real[0]->peers.size() == 2);
+}
+
 // Guards against a list that grows old: a watch that ends is asked for again, after the last version.
 TEST_CASE("a broken watch is asked for again and unreadable lines are left out", "[rules]") {
   Site site;
