Serve after SIGTERM for as long as useful answers fit before the forced end

The log: n1 told to end at 3.91 s and back at 8.35 s, n0 told at 6.91 s; with 0.8 s of service n0 closed at 7.7 s, so for 0.6 s nobody served.

At fault: kServeOn in src/net/sidecar.cpp. Now the end that is forced is reckoned from the settings (longest deadline, 3 s at most, and 0.7 s); requests are taken until the longest aim no longer fits before it, and none taken meanwhile may last beyond it.

The test with real sockets fails with 0.8 s.

--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -8,7 +8,12 @@
 
 using namespace std::chrono_literals;
 
-constexpr Span kServeOn = 800ms;  // after the notice to end: connections still come, and requests on them
+// After the notice to end the program is killed no sooner than this long after the longest deadline, and no
+// deadline counts for more than that.
+constexpr Span kKillAfter = 700ms;
+constexpr Span kLongestCounted = 3s;
+constexpr Span kServeOnAtLeast = 800ms;  // connections still come, and requests on them
+constexpr Span kToSpare = 200ms;         // between the last answers and the end
 constexpr Span kTick = 1s;
 constexpr Span kForget = 60s;  // after this a server that has gone is nobody's business any more
 constexpr Span kAcceptAgain = 50ms;  // while clients wait for a connection to be spared
@@ -16,6 +21,23 @@
 // Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery.
 constexpr int kOtherDescriptors = 48;
 
+// From the notice to the end that an operator forces.
+Span KillTime(const Settings& settings) {
+  std::chrono::microseconds longest{};
+  for (const RequestClass& c : settings.classes) {
+    longest = std::max(longest, std::chrono::microseconds(c.deadline));
+  }
+  return std::min<Span>(longest, kLongestCounted) + kKillAfter;
+}
+
+// Clients keep their connections for as long as these stay open, and the others may be ending too: requests are
+// taken for as long as a useful answer still comes before the end.
+Span ServeOn(const Settings& settings) {
+  std::chrono::microseconds useful{};
+  for (const RequestClass& c : settings.classes) useful = std::max(useful, std::chrono::microseconds(c.aim));
+  return std::max<Span>(KillTime(settings) - useful - kToSpare, kServeOnAtLeast);
+}
+
 int EdgeLimit(const Config& config) { return (config.descriptors - kOtherDescriptors) / 2; }
 
 RealServers::Limits ServerLimits(const Config& config) {
@@ -203,7 +225,8 @@
   draining_ = true;
   drained_ = std::move(drained);
   log_->info("{} was told to end: {} flows are open", config_.name, flows_.size());
-  close_timer_.Start(kServeOn);
+  kill_at_ = Clock::now() + KillTime(config_.settings);
+  close_timer_.Start(ServeOn(config_.settings));
 }
 
 void Sidecar::Reload(const std::function<Config()>& load) {
--- a/src/net/sidecar.h
+++ b/src/net/sidecar.h
@@ -85,6 +85,7 @@
   bool accept_waits_ = false;
   bool draining_ = false;  // told to end
   bool closing_ = false;   // and new connections come no more
+  Time kill_at_{};         // the end that is forced where it has not come by itself
   std::function<void()> drained_;
   Timer accept_timer_;
   Timer close_timer_;
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -378,14 +378,21 @@
   site.Script([&](Party::Peer& peer) { held = &peer; });
   const auto idle = site.Connect();
   const auto busy = site.Connect();
+  const auto kept = site.Connect();
   bool drained = false;
   const Time start = Clock::now();
   site.sidecar->Drain([&] { drained = true; });
   const auto late = site.Connect();  // a new connection after the notice
   busy->Send(Hand());
+  // A client with a connection is served for as long as its answer comes before the end is forced.
+  site.loop.RunUntil([] { return false; }, 1300ms);
+  CHECK_FALSE(kept->ended);
+  kept->Send("GET /-/counters HTTP/1.1\r\n\r\n");
   REQUIRE(site.Until([&] { return held != nullptr && idle->ended && late->ended; }));
-  CHECK(Clock::now() - start >= 700ms);
+  CHECK(kept->answers.size() == 1);
+  CHECK(Clock::now() - start >= 1900ms);
   CHECK_FALSE(drained);
+  CHECK(Clock::now() - start < 2500ms);
   held->Answer(200, "done");
   REQUIRE(site.Until([&] { return !busy->answers.empty(); }));
   CHECK(busy->answers[0].status == 200);
