Test the longer service with a flow sent late, as the module cuts attempts at the aim

Now the flow comes at 1.3 s, is answered after the edges have closed, and the connection that asked late is served.

--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -383,11 +383,11 @@
   const Time start = Clock::now();
   site.sidecar->Drain([&] { drained = true; });
   const auto late = site.Connect();  // a new connection after the notice
-  busy->Send(Hand());
   // A client with a connection is served for as long as its answer comes before the end is forced.
   site.loop.RunUntil([] { return false; }, 1300ms);
   CHECK_FALSE(kept->ended);
   kept->Send("GET /-/counters HTTP/1.1\r\n\r\n");
+  busy->Send(Hand());
   REQUIRE(site.Until([&] { return held != nullptr && idle->ended && late->ended; }));
   CHECK(kept->answers.size() == 1);
   CHECK(Clock::now() - start >= 1900ms);
