--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -881,8 +881,8 @@
     if (answered) MintChip(up);
   }
 
-  // Guards against leaving sound servers for answers that are spoilt here and there: one that sent something is
-  // no silent one, and only when nothing else came of it twice in a row does the class keep off it.
+  // Guards against leaving sound servers for answers that are spoilt here and there: one that sent something
+  // is no silent one, and only when nothing else came of it twice in a row does the class keep off it.
   void Spoilt(Upstream& up, const Held* held) {
     up.answered = now_;
     if (++up.spoilt > 1 && held) Avoid(up, held->request.request_class);
--- a/src/net/edge_connection.cpp
+++ b/src/net/edge_connection.cpp
@@ -6,10 +6,10 @@
 using namespace std::chrono_literals;
 
 // A client that sends nothing, or no whole request, has its answer or its end within 3 s of connecting.
-constexpr Span kSlowest = 2500ms;         // for the whole of a request: from the connect, later from its first byte
+constexpr Span kSlowest = 2500ms;         // for the whole of a request: from the connect or first byte
 constexpr Span kLongestWrite = 10s;       // for a client to read an answer; longer than any waits for one
 constexpr Span kLinger = 400ms;           // for the other side to read the last answer and close
-constexpr Span kFirstRequest = 400ms;     // a new connection brings a request by then, or is the first to be spared
+constexpr Span kFirstRequest = 400ms;     // a new connection brings a request by then, or is spared first
 constexpr size_t kMostAhead = 16 * 1024;  // input kept for later while a request is out
 
 }  // namespace
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -100,8 +100,8 @@
   return 0;
 }
 
-// Guards against a request hidden in another's body and against lines smuggled into what is written on: a length
-// told twice or in two ways, a coding other than chunked, and control characters in a header.
+// Guards against a request hidden in another's body and against lines smuggled into what is written on: a
+// length told twice or in two ways, a coding other than chunked, and control characters in a header.
 bool HttpParser::Ambiguous() const {
   int lengths = 0;
   int codings = 0;
--- a/src/net/real_server.cpp
+++ b/src/net/real_server.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Span kLongestAnswer = 250ms;  // from an answer's first byte to its last: at most 64 KiB, and all near
+constexpr Span kLongestAnswer = 250ms;  // from an answer's first byte to its last: 64 KiB at most
 
 }  // namespace
 
@@ -207,9 +207,9 @@
   return Clock::now() - connection.rested < limits_.idle - margin;
 }
 
-// The newest: the others may then rest until they are swept. Guards against the rest of an earlier answer being
-// read as the next one: a connection that has more to read is closed. Resting for a while first would cost calls
-// that come one right after another a new connection each.
+// The newest: the others may then rest until they are swept. Guards against the rest of an earlier answer
+// being read as the next one: a connection that has more to read is closed. Resting for a while first would
+// cost calls that come one right after another a new connection each.
 std::unique_ptr<RealServers::Connection> RealServers::TakeWarm(ServerId server, const Address& address) {
   const auto it = idle_.find(server);
   if (it == idle_.end()) return nullptr;
--- a/src/net/relay.cpp
+++ b/src/net/relay.cpp
@@ -31,8 +31,8 @@
   counters_.Add("flows_failed");
   const bool keep = KeepAlive(flow, draining);
   const bool in_time = Clock::now() < flow.deadline - std::chrono::milliseconds(20);
-  Write(flow, flow.unfit != 0 ? Platform::UnfitAnswer(flow.unfit, keep) : Platform::FailedAnswer(in_time, keep),
-        keep);
+  const bool unfit = flow.unfit != 0;
+  Write(flow, unfit ? Platform::UnfitAnswer(flow.unfit, keep) : Platform::FailedAnswer(in_time, keep), keep);
 }
 
 void Relay::Write(Flow& flow, std::string answer, bool keep_alive) const {
--- a/src/net/service_entry.cpp
+++ b/src/net/service_entry.cpp
@@ -5,8 +5,8 @@
 
 using namespace std::chrono_literals;
 
-// Discovery writes at least every 2 s, and whatever it has to tell counts as told after 6 s. So a watch that is
-// silent for longer is broken, and silence, the module's wait and a new call must fit into these 6 s.
+// Discovery writes at least every 2 s, and whatever it has to tell counts as told after 6 s. So a watch that
+// is silent for longer is broken, and silence, the module's wait and a new call must fit into these 6 s.
 constexpr Span kLongestSilence = 2700ms;
 constexpr Span kLongestCall = 2300ms;  // for the first bytes; calls there wait in turn, for 2 s at most
 constexpr size_t kLongestLine = 4 * 1024 * 1024;
--- a/src/net/service_entry.h
+++ b/src/net/service_entry.h
@@ -1,6 +1,6 @@
 // Discovery's list as this sidecar holds it, and the watch that keeps it fresh. When to ask is the module's
-// to say; a watch that ends, fails or falls silent is reported once. Only a move to another address, which the
-// module knows nothing of, is seen through here.
+// to say; a watch that ends, fails or falls silent is reported once. Only a move to another address, which
+// the module knows nothing of, is seen through here.
 #ifndef UMBERDYKE_NET_SERVICE_ENTRY_H_
 #define UMBERDYKE_NET_SERVICE_ENTRY_H_
 
@@ -73,8 +73,8 @@
   // Takes the list that the sidecar was started with.
   void TakeKnown(const std::string& json);
   void Watch(bool on);
-  // Discovery stands elsewhere from now on. Its list is asked for whole there; the old watch goes on until the
-  // new one tells something, and for a while a new one that fails is asked for again at once.
+  // Discovery stands elsewhere from now on. Its list is asked for whole there; the old watch goes on until
+  // the new one tells something, and for a while a new one that fails is asked for again at once.
   void MoveTo(const Address& discovery);
   // Null for a number that no list gave.
   const ServerRecord* Find(ServerId server) const {
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -30,8 +30,8 @@
   return std::min<Span>(longest, kLongestCounted) + kKillAfter;
 }
 
-// Clients keep their connections for as long as these stay open, and the others may be ending too: requests are
-// taken for as long as a useful answer still comes before the end.
+// Clients keep their connections for as long as these stay open, and the others may be ending too: requests
+// are taken for as long as a useful answer still comes before the end.
 Span ServeOn(const Settings& settings) {
   std::chrono::microseconds useful{};
   for (const RequestClass& c : settings.classes) useful = std::max(useful, std::chrono::microseconds(c.aim));
@@ -104,7 +104,8 @@
   edges_.emplace(edge.get(), std::move(edge));
 }
 
-// Guards the usual clients against those that open connections by the hundred and send nothing: these go first.
+// Guards the usual clients against those that open connections by the hundred and send nothing: these go
+// first.
 bool Sidecar::ShedOldestEdge() {
   EdgeConnection* oldest = nullptr;
   for (const auto& [edge, owned] : edges_) {
