Move the sources into one folder and library per concern

src/net had grown into one flat room, where any file could include any other. Each concern now has its folder and its CMake library, which links no more than it may know: decide (the module), site, counters, loop, config, http1, platform, membership, server, edge, flow, sidecar, drill.

--- a/examples/party.h
+++ b/examples/party.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "net/http.h"
-#include "net/loop.h"
+#include "http1/http.h"
+#include "loop/loop.h"
 
 namespace umberdyke::net {
 
--- a/src/net/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "net/config.h"
+#include "config/config.h"
 
 #include <charconv>
 #include <fstream>
--- a/src/net/config.h
+++ b/src/config/config.h
@@ -1,6 +1,6 @@
 // What the sidecar is told at its start: ROUTER_* and the JSON that ROUTER_CONFIG names, as typed settings.
-#ifndef UMBERDYKE_NET_CONFIG_H_
-#define UMBERDYKE_NET_CONFIG_H_
+#ifndef UMBERDYKE_CONFIG_CONFIG_H_
+#define UMBERDYKE_CONFIG_CONFIG_H_
 
 #include <chrono>
 #include <cstdint>
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "net/loop.h"
-#include "site_settings.h"
+#include "loop/loop.h"
+#include "site/site_settings.h"
 
 namespace umberdyke::net {
 
@@ -51,4 +51,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_CONFIG_H_
+#endif  // UMBERDYKE_CONFIG_CONFIG_H_
--- a/src/net/counters.cpp
+++ b/src/counters/counters.cpp
@@ -1,4 +1,4 @@
-#include "net/counters.h"
+#include "counters/counters.h"
 
 namespace umberdyke::net {
 
--- a/src/net/counters.h
+++ b/src/counters/counters.h
@@ -1,6 +1,6 @@
 // What the sidecar took in, sent and answered, by name; printed on request and at exit.
-#ifndef UMBERDYKE_NET_COUNTERS_H_
-#define UMBERDYKE_NET_COUNTERS_H_
+#ifndef UMBERDYKE_COUNTERS_COUNTERS_H_
+#define UMBERDYKE_COUNTERS_COUNTERS_H_
 
 #include <cassert>
 #include <cstdint>
@@ -45,4 +45,4 @@
 #define INVARIANT(holds, counters) (assert(holds), ::umberdyke::net::CountUnless((holds), (counters)))
 #endif
 
-#endif  // UMBERDYKE_NET_COUNTERS_H_
+#endif  // UMBERDYKE_COUNTERS_COUNTERS_H_
--- a/src/choice.cpp
+++ b/src/decide/choice.cpp
@@ -8,9 +8,9 @@
 #include <limits>
 
 #include "umberdyke/balancer.h"
-#include "random.h"
-#include "settings.h"
-#include "state.h"
+#include "decide/random.h"
+#include "decide/settings.h"
+#include "decide/state.h"
 
 namespace umberdyke {
 namespace {
--- a/src/random.h
+++ b/src/decide/random.h
@@ -1,6 +1,6 @@
 // A seeded source of random numbers.
-#ifndef UMBERDYKE_SRC_RANDOM_H_
-#define UMBERDYKE_SRC_RANDOM_H_
+#ifndef UMBERDYKE_DECIDE_RANDOM_H_
+#define UMBERDYKE_DECIDE_RANDOM_H_
 
 #include <cstdint>
 
@@ -24,4 +24,4 @@
 
 }  // namespace umberdyke
 
-#endif  // UMBERDYKE_SRC_RANDOM_H_
+#endif  // UMBERDYKE_DECIDE_RANDOM_H_
--- a/src/settings.cpp
+++ b/src/decide/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "decide/settings.h"
 
 #include <cmath>
 #include <stdexcept>
--- a/src/settings.h
+++ b/src/decide/settings.h
@@ -1,6 +1,6 @@
 // Whether settings make sense. No decision stands here.
-#ifndef UMBERDYKE_SRC_SETTINGS_H_
-#define UMBERDYKE_SRC_SETTINGS_H_
+#ifndef UMBERDYKE_DECIDE_SETTINGS_H_
+#define UMBERDYKE_DECIDE_SETTINGS_H_
 
 #include "umberdyke/balancer.h"
 
@@ -14,4 +14,4 @@
 
 }  // namespace umberdyke
 
-#endif  // UMBERDYKE_SRC_SETTINGS_H_
+#endif  // UMBERDYKE_DECIDE_SETTINGS_H_
--- a/src/state.h
+++ b/src/decide/state.h
@@ -1,7 +1,7 @@
 // What a balancer remembers: of each upstream, attempt and request, and in all. Types and plain facts about
 // them; src/choice.cpp decides.
-#ifndef UMBERDYKE_STATE_H_
-#define UMBERDYKE_STATE_H_
+#ifndef UMBERDYKE_DECIDE_STATE_H_
+#define UMBERDYKE_DECIDE_STATE_H_
 
 #include <algorithm>
 #include <deque>
@@ -157,4 +157,4 @@
 
 }  // namespace umberdyke
 
-#endif  // UMBERDYKE_STATE_H_
+#endif  // UMBERDYKE_DECIDE_STATE_H_
--- a/src/benchlink/host.cpp
+++ b/src/drill/host.cpp
@@ -1,4 +1,4 @@
-#include "benchlink/host.h"
+#include "drill/host.h"
 
 #include <string>
 
--- a/src/benchlink/host.h
+++ b/src/drill/host.h
@@ -1,6 +1,6 @@
 // Hosts the instances that the bench spreads over this process. They share nothing but the words of the wire.
-#ifndef UMBERDYKE_BENCHLINK_HOST_H_
-#define UMBERDYKE_BENCHLINK_HOST_H_
+#ifndef UMBERDYKE_DRILL_HOST_H_
+#define UMBERDYKE_DRILL_HOST_H_
 
 #include <array>
 #include <istream>
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "benchlink/wire.h"
+#include "drill/wire.h"
 #include "umberdyke/balancer.h"
 
 namespace umberdyke::benchlink {
@@ -48,4 +48,4 @@
 
 }  // namespace umberdyke::benchlink
 
-#endif  // UMBERDYKE_BENCHLINK_HOST_H_
+#endif  // UMBERDYKE_DRILL_HOST_H_
--- a/src/benchlink/main.cpp
+++ b/src/drill/main.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "benchlink/host.h"
+#include "drill/host.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/benchlink/wire.cpp
+++ b/src/drill/wire.cpp
@@ -1,4 +1,4 @@
-#include "benchlink/wire.h"
+#include "drill/wire.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/benchlink/wire.h
+++ b/src/drill/wire.h
@@ -1,6 +1,6 @@
 // The wire of the bench: lines of name=value pairs in, lines of actions out. Decides nothing.
-#ifndef UMBERDYKE_BENCHLINK_WIRE_H_
-#define UMBERDYKE_BENCHLINK_WIRE_H_
+#ifndef UMBERDYKE_DRILL_WIRE_H_
+#define UMBERDYKE_DRILL_WIRE_H_
 
 #include <cstdint>
 #include <optional>
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "site_settings.h"
+#include "site/site_settings.h"
 #include "umberdyke/balancer.h"
 
 namespace umberdyke::benchlink {
@@ -70,4 +70,4 @@
 
 }  // namespace umberdyke::benchlink
 
-#endif  // UMBERDYKE_BENCHLINK_WIRE_H_
+#endif  // UMBERDYKE_DRILL_WIRE_H_
--- a/src/net/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -1,4 +1,4 @@
-#include "net/edge_connection.h"
+#include "edge/edge_connection.h"
 
 namespace umberdyke::net {
 namespace {
--- a/src/net/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -1,12 +1,12 @@
 // A client's connection: requests in one at a time, each answered once, in order.
-#ifndef UMBERDYKE_NET_EDGE_CONNECTION_H_
-#define UMBERDYKE_NET_EDGE_CONNECTION_H_
+#ifndef UMBERDYKE_EDGE_EDGE_CONNECTION_H_
+#define UMBERDYKE_EDGE_EDGE_CONNECTION_H_
 
 #include <memory>
 #include <string>
 
-#include "net/http.h"
-#include "net/loop.h"
+#include "http1/http.h"
+#include "loop/loop.h"
 
 namespace umberdyke::net {
 
@@ -70,4 +70,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_EDGE_CONNECTION_H_
+#endif  // UMBERDYKE_EDGE_EDGE_CONNECTION_H_
--- a/src/net/admit.cpp
+++ b/src/flow/admit.cpp
@@ -1,4 +1,4 @@
-#include "net/admit.h"
+#include "flow/admit.h"
 
 #include <algorithm>
 
--- a/src/net/admit.h
+++ b/src/flow/admit.h
@@ -1,11 +1,11 @@
 // The second stage: a flow begins. It gets its number and the timer that keeps its answer in time.
-#ifndef UMBERDYKE_NET_ADMIT_H_
-#define UMBERDYKE_NET_ADMIT_H_
+#ifndef UMBERDYKE_FLOW_ADMIT_H_
+#define UMBERDYKE_FLOW_ADMIT_H_
 
 #include <functional>
 
-#include "net/counters.h"
-#include "net/flow.h"
+#include "counters/counters.h"
+#include "flow/flow.h"
 
 namespace umberdyke::net {
 
@@ -26,4 +26,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_ADMIT_H_
+#endif  // UMBERDYKE_FLOW_ADMIT_H_
--- a/src/net/book.cpp
+++ b/src/flow/book.cpp
@@ -1,4 +1,4 @@
-#include "net/book.h"
+#include "flow/book.h"
 
 namespace umberdyke::net {
 namespace {
--- a/src/net/book.h
+++ b/src/flow/book.h
@@ -1,11 +1,11 @@
 // The last stage: what came of attempts and flows goes into the counters and to the module, and a flow ends.
-#ifndef UMBERDYKE_NET_BOOK_H_
-#define UMBERDYKE_NET_BOOK_H_
+#ifndef UMBERDYKE_FLOW_BOOK_H_
+#define UMBERDYKE_FLOW_BOOK_H_
 
-#include "net/counters.h"
-#include "net/decisions.h"
-#include "net/flow.h"
-#include "net/send.h"
+#include "counters/counters.h"
+#include "flow/decisions.h"
+#include "flow/flow.h"
+#include "flow/send.h"
 
 namespace umberdyke::net {
 
@@ -31,4 +31,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_BOOK_H_
+#endif  // UMBERDYKE_FLOW_BOOK_H_
--- a/src/net/decisions.cpp
+++ b/src/flow/decisions.cpp
@@ -1,4 +1,4 @@
-#include "net/decisions.h"
+#include "flow/decisions.h"
 
 #include <stdexcept>
 #include <type_traits>
--- a/src/net/decisions.h
+++ b/src/flow/decisions.h
@@ -1,7 +1,7 @@
 // The sole owner of the decision module. Events wait in a queue and actions are performed in their order, so
 // that the module is never entered from inside itself. Only here are times turned into the module's.
-#ifndef UMBERDYKE_NET_DECISIONS_H_
-#define UMBERDYKE_NET_DECISIONS_H_
+#ifndef UMBERDYKE_FLOW_DECISIONS_H_
+#define UMBERDYKE_FLOW_DECISIONS_H_
 
 #include <chrono>
 #include <deque>
@@ -10,11 +10,11 @@
 #include <queue>
 #include <vector>
 
-#include "net/config.h"
-#include "net/counters.h"
-#include "net/flow.h"
-#include "net/loop.h"
-#include "net/service_entry.h"
+#include "config/config.h"
+#include "counters/counters.h"
+#include "flow/flow.h"
+#include "loop/loop.h"
+#include "membership/service_entry.h"
 #include "umberdyke/balancer.h"
 
 namespace umberdyke::net {
@@ -82,4 +82,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_DECISIONS_H_
+#endif  // UMBERDYKE_FLOW_DECISIONS_H_
--- a/src/net/flow.h
+++ b/src/flow/flow.h
@@ -1,15 +1,15 @@
 // A flow: one request from its taking in to its one final answer. The table owns all flows that are open.
-#ifndef UMBERDYKE_NET_FLOW_H_
-#define UMBERDYKE_NET_FLOW_H_
+#ifndef UMBERDYKE_FLOW_FLOW_H_
+#define UMBERDYKE_FLOW_FLOW_H_
 
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
 
-#include "net/edge_connection.h"
-#include "net/loop.h"
-#include "net/platform.h"
+#include "edge/edge_connection.h"
+#include "loop/loop.h"
+#include "platform/platform.h"
 
 namespace umberdyke::net {
 
@@ -65,4 +65,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_FLOW_H_
+#endif  // UMBERDYKE_FLOW_FLOW_H_
--- a/src/net/relay.cpp
+++ b/src/flow/relay.cpp
@@ -1,4 +1,4 @@
-#include "net/relay.h"
+#include "flow/relay.h"
 
 namespace umberdyke::net {
 namespace {
--- a/src/net/relay.h
+++ b/src/flow/relay.h
@@ -1,12 +1,12 @@
 // The fifth stage: writes a flow's one final answer to its edge connection.
-#ifndef UMBERDYKE_NET_RELAY_H_
-#define UMBERDYKE_NET_RELAY_H_
+#ifndef UMBERDYKE_FLOW_RELAY_H_
+#define UMBERDYKE_FLOW_RELAY_H_
 
 #include <chrono>
 
-#include "net/counters.h"
-#include "net/flow.h"
-#include "net/platform.h"
+#include "counters/counters.h"
+#include "flow/flow.h"
+#include "platform/platform.h"
 
 namespace umberdyke::net {
 
@@ -31,4 +31,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_RELAY_H_
+#endif  // UMBERDYKE_FLOW_RELAY_H_
--- a/src/net/route.cpp
+++ b/src/flow/route.cpp
@@ -1,4 +1,4 @@
-#include "net/route.h"
+#include "flow/route.h"
 
 namespace umberdyke::net {
 namespace {
--- a/src/net/route.h
+++ b/src/flow/route.h
@@ -1,11 +1,11 @@
 // The third stage: where an attempt goes and how long it may take, or why it can't go.
-#ifndef UMBERDYKE_NET_ROUTE_H_
-#define UMBERDYKE_NET_ROUTE_H_
+#ifndef UMBERDYKE_FLOW_ROUTE_H_
+#define UMBERDYKE_FLOW_ROUTE_H_
 
 #include <optional>
 
-#include "net/flow.h"
-#include "net/service_entry.h"
+#include "flow/flow.h"
+#include "membership/service_entry.h"
 
 namespace umberdyke::net {
 
@@ -30,4 +30,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_ROUTE_H_
+#endif  // UMBERDYKE_FLOW_ROUTE_H_
--- a/src/net/send.cpp
+++ b/src/flow/send.cpp
@@ -1,4 +1,4 @@
-#include "net/send.h"
+#include "flow/send.h"
 
 namespace umberdyke::net {
 
--- a/src/net/send.h
+++ b/src/flow/send.h
@@ -1,16 +1,16 @@
 // The fourth stage: carries attempts to the real servers and tells how each ended, once.
-#ifndef UMBERDYKE_NET_SEND_H_
-#define UMBERDYKE_NET_SEND_H_
+#ifndef UMBERDYKE_FLOW_SEND_H_
+#define UMBERDYKE_FLOW_SEND_H_
 
 #include <functional>
 #include <map>
 #include <utility>
 
-#include "net/counters.h"
-#include "net/flow.h"
-#include "net/platform.h"
-#include "net/real_server.h"
-#include "net/route.h"
+#include "counters/counters.h"
+#include "flow/flow.h"
+#include "platform/platform.h"
+#include "server/real_server.h"
+#include "flow/route.h"
 
 namespace umberdyke::net {
 
@@ -59,4 +59,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_SEND_H_
+#endif  // UMBERDYKE_FLOW_SEND_H_
--- a/src/net/take_in.cpp
+++ b/src/flow/take_in.cpp
@@ -1,4 +1,4 @@
-#include "net/take_in.h"
+#include "flow/take_in.h"
 
 namespace umberdyke::net {
 
--- a/src/net/take_in.h
+++ b/src/flow/take_in.h
@@ -1,12 +1,12 @@
 // The first stage: makes a flow's request of a message, or answers what is none.
-#ifndef UMBERDYKE_NET_TAKE_IN_H_
-#define UMBERDYKE_NET_TAKE_IN_H_
+#ifndef UMBERDYKE_FLOW_TAKE_IN_H_
+#define UMBERDYKE_FLOW_TAKE_IN_H_
 
 #include <optional>
 
-#include "net/counters.h"
-#include "net/edge_connection.h"
-#include "net/platform.h"
+#include "counters/counters.h"
+#include "edge/edge_connection.h"
+#include "platform/platform.h"
 
 namespace umberdyke::net {
 
@@ -25,4 +25,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_TAKE_IN_H_
+#endif  // UMBERDYKE_FLOW_TAKE_IN_H_
--- a/src/net/http.cpp
+++ b/src/http1/http.cpp
@@ -1,4 +1,4 @@
-#include "net/http.h"
+#include "http1/http.h"
 
 #include <strings.h>
 
--- a/src/net/http.h
+++ b/src/http1/http.h
@@ -1,6 +1,6 @@
 // HTTP/1.1 messages: an incremental parser with limits, and writers. Knows nothing of the platform.
-#ifndef UMBERDYKE_NET_HTTP_H_
-#define UMBERDYKE_NET_HTTP_H_
+#ifndef UMBERDYKE_HTTP1_HTTP_H_
+#define UMBERDYKE_HTTP1_HTTP_H_
 
 #include <http_parser.h>
 
@@ -85,4 +85,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_HTTP_H_
+#endif  // UMBERDYKE_HTTP1_HTTP_H_
--- a/src/net/loop.cpp
+++ b/src/loop/loop.cpp
@@ -1,4 +1,4 @@
-#include "net/loop.h"
+#include "loop/loop.h"
 
 #include <sys/socket.h>
 
--- a/src/net/loop.h
+++ b/src/loop/loop.h
@@ -1,6 +1,6 @@
 // The event loop and what lives on it: timers, signals and TCP streams, each closed by its destructor.
-#ifndef UMBERDYKE_NET_LOOP_H_
-#define UMBERDYKE_NET_LOOP_H_
+#ifndef UMBERDYKE_LOOP_LOOP_H_
+#define UMBERDYKE_LOOP_LOOP_H_
 
 #include <uv.h>
 
@@ -161,4 +161,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_LOOP_H_
+#endif  // UMBERDYKE_LOOP_LOOP_H_
--- a/src/net/service_entry.cpp
+++ b/src/membership/service_entry.cpp
@@ -1,4 +1,4 @@
-#include "net/service_entry.h"
+#include "membership/service_entry.h"
 
 namespace umberdyke::net {
 namespace {
--- a/src/net/service_entry.h
+++ b/src/membership/service_entry.h
@@ -1,8 +1,8 @@
 // Discovery's list as this sidecar holds it, and the watch that keeps it fresh. When to ask is the module's
 // to say; a watch that ends, fails or falls silent is reported once. Only a move to another address, which
 // the module knows nothing of, is seen through here.
-#ifndef UMBERDYKE_NET_SERVICE_ENTRY_H_
-#define UMBERDYKE_NET_SERVICE_ENTRY_H_
+#ifndef UMBERDYKE_MEMBERSHIP_SERVICE_ENTRY_H_
+#define UMBERDYKE_MEMBERSHIP_SERVICE_ENTRY_H_
 
 #include <functional>
 #include <memory>
@@ -11,9 +11,9 @@
 #include <unordered_set>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/loop.h"
-#include "net/platform.h"
+#include "counters/counters.h"
+#include "loop/loop.h"
+#include "platform/platform.h"
 
 namespace umberdyke::net {
 
@@ -110,4 +110,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_SERVICE_ENTRY_H_
+#endif  // UMBERDYKE_MEMBERSHIP_SERVICE_ENTRY_H_
--- a/src/net/platform.cpp
+++ b/src/platform/platform.cpp
@@ -1,4 +1,4 @@
-#include "net/platform.h"
+#include "platform/platform.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/net/platform.h
+++ b/src/platform/platform.h
@@ -1,7 +1,7 @@
 // The platform's protocol: header names, paths, status codes and the form of discovery's list. Nothing else
 // knows them, so that a second front can go through the same decisions and rules.
-#ifndef UMBERDYKE_NET_PLATFORM_H_
-#define UMBERDYKE_NET_PLATFORM_H_
+#ifndef UMBERDYKE_PLATFORM_PLATFORM_H_
+#define UMBERDYKE_PLATFORM_PLATFORM_H_
 
 #include <chrono>
 #include <optional>
@@ -10,8 +10,8 @@
 #include <variant>
 #include <vector>
 
-#include "net/config.h"
-#include "net/http.h"
+#include "config/config.h"
+#include "http1/http.h"
 #include "umberdyke/balancer.h"
 
 namespace umberdyke::net {
@@ -85,4 +85,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_PLATFORM_H_
+#endif  // UMBERDYKE_PLATFORM_PLATFORM_H_
--- a/src/net/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -1,4 +1,4 @@
-#include "net/real_server.h"
+#include "server/real_server.h"
 
 #include <algorithm>
 #include <cstring>
--- a/src/net/real_server.h
+++ b/src/server/real_server.h
@@ -1,7 +1,7 @@
 // Connections to the real servers, kept warm between requests, and the exchanges on them: one request out,
 // one whole answer back. Nothing here sends a request a second time.
-#ifndef UMBERDYKE_NET_REAL_SERVER_H_
-#define UMBERDYKE_NET_REAL_SERVER_H_
+#ifndef UMBERDYKE_SERVER_REAL_SERVER_H_
+#define UMBERDYKE_SERVER_REAL_SERVER_H_
 
 #include <functional>
 #include <memory>
@@ -9,10 +9,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "net/counters.h"
-#include "net/http.h"
-#include "net/loop.h"
-#include "net/service_entry.h"
+#include "counters/counters.h"
+#include "http1/http.h"
+#include "loop/loop.h"
+#include "membership/service_entry.h"
 
 namespace umberdyke::net {
 
@@ -84,4 +84,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_REAL_SERVER_H_
+#endif  // UMBERDYKE_SERVER_REAL_SERVER_H_
--- a/src/main.cpp
+++ b/src/sidecar/main.cpp
@@ -8,9 +8,9 @@
 #include <iostream>
 #include <memory>
 
-#include "net/config.h"
-#include "net/loop.h"
-#include "net/sidecar.h"
+#include "config/config.h"
+#include "loop/loop.h"
+#include "sidecar/sidecar.h"
 
 int main() {
   using namespace umberdyke::net;
--- a/src/net/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,4 +1,4 @@
-#include "net/sidecar.h"
+#include "sidecar/sidecar.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/net/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -1,6 +1,6 @@
 // Puts the parts together: edge connections, the chain of stages, the module and the real servers.
-#ifndef UMBERDYKE_NET_SIDECAR_H_
-#define UMBERDYKE_NET_SIDECAR_H_
+#ifndef UMBERDYKE_SIDECAR_SIDECAR_H_
+#define UMBERDYKE_SIDECAR_SIDECAR_H_
 
 #include <spdlog/logger.h>
 
@@ -8,21 +8,21 @@
 #include <memory>
 #include <unordered_map>
 
-#include "net/admit.h"
-#include "net/book.h"
-#include "net/config.h"
-#include "net/counters.h"
-#include "net/decisions.h"
-#include "net/edge_connection.h"
-#include "net/flow.h"
-#include "net/loop.h"
-#include "net/platform.h"
-#include "net/real_server.h"
-#include "net/relay.h"
-#include "net/route.h"
-#include "net/send.h"
-#include "net/service_entry.h"
-#include "net/take_in.h"
+#include "flow/admit.h"
+#include "flow/book.h"
+#include "config/config.h"
+#include "counters/counters.h"
+#include "flow/decisions.h"
+#include "edge/edge_connection.h"
+#include "flow/flow.h"
+#include "loop/loop.h"
+#include "platform/platform.h"
+#include "server/real_server.h"
+#include "flow/relay.h"
+#include "flow/route.h"
+#include "flow/send.h"
+#include "membership/service_entry.h"
+#include "flow/take_in.h"
 
 namespace umberdyke::net {
 
@@ -94,4 +94,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_NET_SIDECAR_H_
+#endif  // UMBERDYKE_SIDECAR_SIDECAR_H_
--- a/src/site_settings.cpp
+++ b/src/site/site_settings.cpp
@@ -1,4 +1,4 @@
-#include "site_settings.h"
+#include "site/site_settings.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/site_settings.h
+++ b/src/site/site_settings.h
@@ -1,7 +1,7 @@
 // The site's settings under the names that the simulator and the real configuration share, read into the
 // module's Settings. Decides nothing.
-#ifndef UMBERDYKE_SITE_SETTINGS_H_
-#define UMBERDYKE_SITE_SETTINGS_H_
+#ifndef UMBERDYKE_SITE_SITE_SETTINGS_H_
+#define UMBERDYKE_SITE_SITE_SETTINGS_H_
 
 #include <stdexcept>
 #include <string>
@@ -36,4 +36,4 @@
 
 }  // namespace umberdyke
 
-#endif  // UMBERDYKE_SITE_SETTINGS_H_
+#endif  // UMBERDYKE_SITE_SITE_SETTINGS_H_
--- a/tests/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -543,7 +543,8 @@
 }
 
 // A list of long ago comes again and then the true one: what was learnt of a server since its start holds.
-// Servers replaced all day by ones with new ids: what is kept of them must not grow, and the living stay in use.
+// Servers replaced all day by ones with new ids: what is kept of them must not grow, and the living stay in
+// use.
 TEST(ListTest, ServersLongGoneAreForgotten) {
   Driver d(BasicSettings());
   const auto day = [&](UpstreamId from, UpstreamId to) {
--- a/tests/wire_test.cpp
+++ b/tests/drill/wire_test.cpp
@@ -1,11 +1,11 @@
-#include "benchlink/wire.h"
+#include "drill/wire.h"
 
 #include <gtest/gtest.h>
 
 #include <sstream>
 #include <string>
 
-#include "benchlink/host.h"
+#include "drill/host.h"
 
 namespace umberdyke::benchlink {
 namespace {
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -7,7 +7,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "net/http.h"
+#include "http1/http.h"
 #include "site.h"
 
 namespace umberdyke::net {
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -149,7 +149,8 @@
   CHECK(site.Until([&] { return first->ended; }));
 }
 
-// Guards against serving one client with the answer made for another: real servers know requests by their ids.
+// Guards against serving one client with the answer made for another: real servers know requests by their
+// ids.
 TEST_CASE("an id that is open in another flow is turned away and not passed on", "[rules]") {
   Site site(1);
   Party::Peer* held = nullptr;
@@ -194,7 +195,8 @@
 }
 
 // Guards against clients that hold descriptors and send nothing, or never the end of a request.
-TEST_CASE("silent and slow clients get an error or a close within 3 s, and room is made for others", "[rules]") {
+TEST_CASE("silent and slow clients get an error or a close within 3 s, and room is made for others",
+          "[rules]") {
   Site site(1, 64);
   site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
   const Time start = Clock::now();
@@ -316,8 +318,8 @@
   CHECK(site.sidecar->counters().Of("discovery_broken") == 1);
 }
 
-// Guards against a list that grows old after a move, and against a gap: the old watch counts until the new one
-// has told the whole list. A file that makes no sense changes nothing.
+// Guards against a list that grows old after a move, and against a gap: the old watch counts until the new
+// one has told the whole list. A file that makes no sense changes nothing.
 TEST_CASE("a reload moves the watch to the discovery that the file names", "[rules]") {
   Site site(1);
   site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "net/sidecar.h"
+#include "sidecar/sidecar.h"
 #include "party.h"
 
 namespace umberdyke::net {
