Give the sidecar a command line and events under stable names in its log

The log tells events whose names stay (docs/events.md), as text by default or as JSON lines, each event held back past 20 at once and two a second, except the start and the end.

--- /dev/null
+++ b/src/log/event.cpp
@@ -0,0 +1,48 @@
+#include "log/event.h"
+
+#include <algorithm>
+
+namespace umberdyke::log {
+
+const std::vector<EventKind>& EventKinds() {
+  static const std::vector<EventKind> kinds = {
+      {Event::kListening, "listening", Level::kInfo, false},
+      {Event::kEnded, "ended", Level::kInfo, false},
+      {Event::kCounters, "counters", Level::kInfo, true},
+      {Event::kDrainBegins, "drain-begins", Level::kInfo, false},
+      {Event::kReloaded, "reloaded", Level::kInfo, true},
+      {Event::kReloadRefused, "reload-refused", Level::kError, true},
+      {Event::kDiscoveryBroke, "discovery-broke", Level::kWarning, true},
+      {Event::kDiscoveryBack, "discovery-back", Level::kInfo, true},
+      {Event::kModule, "module", Level::kInfo, true},
+  };
+  return kinds;
+}
+
+const EventKind& KindOf(Event event) { return EventKinds()[static_cast<size_t>(event)]; }
+
+std::string_view LevelName(Level level) {
+  constexpr std::array<std::string_view, 4> kNames = {"debug", "info", "warning", "error"};
+  return kNames[static_cast<size_t>(level)];
+}
+
+bool RateLimit::Take(Event event, Time now, std::uint64_t* held_back) {
+  *held_back = 0;
+  if (!KindOf(event).limited) return true;
+  Bucket& bucket = buckets_.at(static_cast<size_t>(event));
+  if (bucket.filled != Time()) {
+    const double passed = std::max(0.0, std::chrono::duration<double>(now - bucket.filled).count());
+    bucket.tokens = std::min(kBurst, bucket.tokens + passed * kEachSecond);
+  }
+  bucket.filled = now;
+  if (bucket.tokens < 1) {
+    ++bucket.held_back;
+    return false;
+  }
+  bucket.tokens -= 1;
+  *held_back = bucket.held_back;
+  bucket.held_back = 0;
+  return true;
+}
+
+}  // namespace umberdyke::log
--- /dev/null
+++ b/src/log/log.cpp
@@ -0,0 +1,84 @@
+#include "log/log.h"
+
+#include <spdlog/sinks/null_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <nlohmann/json.hpp>
+
+namespace umberdyke::log {
+namespace {
+
+spdlog::level::level_enum Of(Level level) {
+  switch (level) {
+    case Level::kDebug:
+      return spdlog::level::debug;
+    case Level::kInfo:
+      return spdlog::level::info;
+    case Level::kWarning:
+      return spdlog::level::warn;
+    case Level::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+// RFC 3339, to the millisecond.
+std::string Timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  const std::time_t seconds = millis / 1000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  char text[64];
+  const size_t at = std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+  std::snprintf(text + at, sizeof text - at, ".%03dZ", static_cast<int>(millis % 1000));
+  return text;
+}
+
+}  // namespace
+
+Log::Log(spdlog::sink_ptr sink, Format format, Level least, std::string instance)
+    : logger_("umberdyke", std::move(sink)), format_(format), instance_(std::move(instance)) {
+  if (format == Format::kJson) logger_.set_pattern("%v");
+  logger_.set_level(Of(least));
+  logger_.flush_on(spdlog::level::debug);
+}
+
+void Log::Say(Event event, const std::string& text, Fields fields) {
+  const EventKind& kind = KindOf(event);
+  if (!logger_.should_log(Of(kind.level))) return;
+  std::uint64_t held_back = 0;
+  if (!limit_.Take(event, std::chrono::steady_clock::now(), &held_back)) return;
+  if (format_ == Format::kText) {
+    const std::string more =
+        held_back == 0 ? "" : " (" + std::to_string(held_back) + " alike were held back)";
+    logger_.log(Of(kind.level), "{}{}", text, more);
+    return;
+  }
+  nlohmann::ordered_json line = {{"time", Timestamp()},
+                                 {"level", LevelName(kind.level)},
+                                 {"event", kind.name},
+                                 {"instance", instance_},
+                                 {"text", text}};
+  for (const auto& [name, value] : fields) {
+    std::visit([&, key = std::string(name)](const auto& v) { line[key] = v; }, value);
+  }
+  if (held_back > 0) line["held_back"] = held_back;
+  // Names from outside may hold any bytes; a line that is no UTF-8 would be lost to whoever collects it.
+  logger_.log(Of(kind.level), "{}", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+std::shared_ptr<Log> ErrorLog(Format format, Level least, std::string instance) {
+  return std::make_shared<Log>(std::make_shared<spdlog::sinks::stderr_sink_st>(), format, least,
+                               std::move(instance));
+}
+
+std::shared_ptr<Log> NoLog() {
+  return std::make_shared<Log>(std::make_shared<spdlog::sinks::null_sink_st>(), Format::kText, Level::kError,
+                               "test");
+}
+
+}  // namespace umberdyke::log
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -1,46 +1,144 @@
-// The sidecar on real sockets: start, signals, exit.
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
-
+// The sidecar on real sockets: command line, start, signals, exit.
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <map>
 #include <memory>
+#include <optional>
 
 #include "config/config.h"
+#include "config/sidecar_file.h"
+#include "files/files.h"
+#include "log/log.h"
 #include "loop/loop.h"
 #include "sidecar/sidecar.h"
 
-int main() {
-  using namespace umberdyke::net;
+namespace {
+
+using namespace umberdyke;
+
+struct Options {
+  std::string config;
+  bool check = false;
+  std::optional<log::Format> log_format;
+  std::optional<log::Level> log_level;
+};
+
+const std::map<std::string, log::Format> kFormats = {{"text", log::Format::kText},
+                                                     {"json", log::Format::kJson}};
+const std::map<std::string, log::Level> kLevels = {{"debug", log::Level::kDebug},
+                                                   {"info", log::Level::kInfo},
+                                                   {"warning", log::Level::kWarning},
+                                                   {"error", log::Level::kError}};
+
+void Describe(CLI::App& app, Options* options) {
+  app.description(
+      "The sidecar: stands before a tier of servers and passes each request on to one that can do it in "
+      "time.");
+  app.set_version_flag("--version", "umberdyke " UMBERDYKE_VERSION);
+  app.add_option("--config", options->config, "The JSON file to start from; goes before ROUTER_CONFIG")
+      ->type_name("FILE");
+  app.add_flag("--check", options->check,
+               "Load everything, say what is wrong, and exit: 0 clean, 1 findings, "
+               "2 could not read");
+  app.add_option("--log-format", options->log_format, "text or json; goes before the file's log.format")
+      ->transform(CLI::CheckedTransformer(kFormats))
+      ->type_name("FORMAT");
+  app.add_option("--log-level", options->log_level, "debug, info, warning or error; goes before log.level")
+      ->transform(CLI::CheckedTransformer(kLevels))
+      ->type_name("LEVEL");
+  app.footer(
+      "With no arguments all comes from ROUTER_CONFIG, ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY.\n"
+      "Example:\n  umberdyke --config /etc/umberdyke/linen-track.front-1.json --log-format json");
+}
+
+// Everything that a start reads, and every finding of it.
+int CheckConfiguration(const net::Environment& environment) {
+  const std::string path = environment("ROUTER_CONFIG").value_or("");
+  if (path.empty()) {
+    std::cerr << "configuration: ROUTER_CONFIG is not set and --config is not given\n";
+    return 2;
+  }
+  const files::ReadResult read = files::ReadWhole(path, config::kLargestFile);
+  if (!read.error.empty()) {
+    std::cerr << read.error << "\n";
+    return 2;
+  }
+  config::Findings findings;
+  config::CheckSidecar(path, read.text, environment, &findings);
+  findings.Sort({path});
+  for (const config::Finding& finding : findings.list()) std::cout << config::PrintLine(finding) << "\n";
+  if (!findings.empty()) return 1;
+  // What the program itself makes of it, the module included.
+  const net::Config config = net::LoadConfig(environment);
+  Actions actions;
+  const Balancer balancer(config.settings, config.seed, 0, &actions);
+  std::cout << path << ": good for " << config.name << ", tier " << config.settings.tier << "\n";
+  return 0;
+}
+
+log::Format FormatOf(const Options& options, const net::Config& config) {
+  const auto it = kFormats.find(config.log_format);
+  return options.log_format.value_or(it == kFormats.end() ? log::Format::kText : it->second);
+}
+
+log::Level LevelOf(const Options& options, const net::Config& config) {
+  const auto it = kLevels.find(config.log_level);
+  return options.log_level.value_or(it == kLevels.end() ? log::Level::kInfo : it->second);
+}
+
+int Serve(const Options& options, const net::Environment& environment) {
+  const net::Config config = net::LoadConfig(environment);
+  const auto log = log::ErrorLog(FormatOf(options, config), LevelOf(options, config), config.name);
+  net::Loop loop;
+  net::Sidecar sidecar(loop, config, log);
+  const auto end = [&] { sidecar.Drain([&] { loop.Stop(); }); };
+  const net::Signal term(loop, SIGTERM, end);
+  const net::Signal interrupt(loop, SIGINT, end);
+  const net::Signal reload(loop, SIGHUP,
+                           [&] { sidecar.Reload([&] { return net::ReloadConfig(environment); }); });
+  const net::Signal print(loop, SIGUSR1, [&] {
+    log->Say(log::Event::kCounters, "counters: " + sidecar.counters().Print("; "),
+             {{"counters", sidecar.counters().Print("; ")}});
+  });
+  const std::string address = net::PrintAddress(sidecar.address());
+  log->Say(log::Event::kListening,
+           config.name + " listens on " + address + ", tier " + std::to_string(config.settings.tier),
+           {{"address", address},
+            {"tier", std::int64_t{config.settings.tier}},
+            {"application", config.application}});
+  loop.Run();
+  log->Say(log::Event::kEnded, config.name + " ends; counters: " + sidecar.counters().Print("; "),
+           {{"counters", sidecar.counters().Print("; ")}});
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  Options options;
+  CLI::App app;
+  Describe(app, &options);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  const net::Environment environment = [&](const std::string& name) -> std::optional<std::string> {
+    if (name == "ROUTER_CONFIG" && !options.config.empty()) return options.config;
+    const char* value = std::getenv(name.c_str());
+    return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+  };
   try {
-    const Environment environment = [](const std::string& name) {
-      const char* value = std::getenv(name.c_str());
-      return value == nullptr ? std::nullopt : std::optional<std::string>(value);
-    };
-    const Config config = LoadConfig(environment);
-    auto log =
-        std::make_shared<spdlog::logger>("umberdyke", std::make_shared<spdlog::sinks::stderr_sink_st>());
-    log->flush_on(spdlog::level::info);
-    Loop loop;
-    Sidecar sidecar(loop, config, log);
-    const auto end = [&] { sidecar.Drain([&] { loop.Stop(); }); };
-    const Signal term(loop, SIGTERM, end);
-    const Signal interrupt(loop, SIGINT, end);
-    const Signal reload(loop, SIGHUP, [&] { sidecar.Reload([&] { return ReloadConfig(environment); }); });
-    const Signal print(loop, SIGUSR1, [&] { log->info("counters: {}", sidecar.counters().Print("; ")); });
-    log->info("{} listens on {}, tier {}", config.name, PrintAddress(sidecar.address()),
-              config.settings.tier);
-    loop.Run();
-    log->info("{} ends; counters: {}", config.name, sidecar.counters().Print("; "));
-    return 0;
-  } catch (const ConfigError& error) {
+    return options.check ? CheckConfiguration(environment) : Serve(options, environment);
+  } catch (const net::ConfigError& error) {
     std::cerr << error.what() << std::endl;
     return 2;
   } catch (const std::exception& error) {
     std::cerr << "umberdyke: " << error.what() << std::endl;
-    return 1;
+    return options.check ? 2 : 1;
   }
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using log::Event;
 
 // After the notice to end the program is killed no sooner than this long after the longest deadline, and no
 // deadline counts for more than that.
@@ -46,7 +47,7 @@
 
 }  // namespace
 
-Sidecar::Sidecar(Loop& loop, const Config& config, std::shared_ptr<spdlog::logger> log)
+Sidecar::Sidecar(Loop& loop, const Config& config, std::shared_ptr<log::Log> log)
     : loop_(loop),
       config_(config),
       log_(std::move(log)),
@@ -74,12 +75,19 @@
 
 Sidecar::~Sidecar() = default;
 
+void Sidecar::Say(const std::string& text) { log_->Say(Event::kModule, "module: " + text, {{"said", text}}); }
+
 void Sidecar::Told(const ListChange& change) {
   // One line for a run of failures and one for its end: discovery may be down for days.
   if (change.kind == ListUpdate::kFailed) {
-    if (watch_failures_++ == 0) log_->warn("the watch on discovery broke: {}", change.why);
+    if (watch_failures_++ == 0) {
+      log_->Say(Event::kDiscoveryBroke, "the watch on discovery broke: " + change.why, {{"why", change.why}});
+    }
   } else if (watch_failures_ > 0) {
-    log_->info("discovery tells again, after {} failures", std::exchange(watch_failures_, 0));
+    const int failures = std::exchange(watch_failures_, 0);
+    log_->Say(Event::kDiscoveryBack,
+              "discovery tells again, after " + std::to_string(failures) + " failures",
+              {{"failures", std::int64_t{failures}}});
   }
   decisions_.TellList(change);
   // What leaves gets nothing new: connections at rest there only hold descriptors.
@@ -225,7 +233,9 @@
   if (draining_) return;
   draining_ = true;
   drained_ = std::move(drained);
-  log_->info("{} was told to end: {} flows are open", config_.name, flows_.size());
+  log_->Say(Event::kDrainBegins,
+            config_.name + " was told to end: " + std::to_string(flows_.size()) + " flows are open",
+            {{"open_flows", static_cast<std::int64_t>(flows_.size())}});
   kill_at_ = Clock::now() + KillTime(config_.settings);
   close_timer_.Start(ServeOn(config_.settings));
 }
@@ -234,13 +244,17 @@
   try {
     const Config next = load();
     counters_.Add("reloads");
-    log_->info("{} has read its configuration anew: discovery at {}{}", config_.name,
-               PrintAddress(next.discovery),
-               next.rest == config_.rest ? "" : "; what else has changed holds from the next start on");
+    const bool more = next.rest != config_.rest;
+    const std::string discovery = PrintAddress(next.discovery);
+    log_->Say(Event::kReloaded,
+              config_.name + " has read its configuration anew: discovery at " + discovery +
+                  (more ? "; what else has changed holds from the next start on" : ""),
+              {{"discovery", discovery}, {"more_at_next_start", more}});
     entry_.MoveTo(next.discovery);
   } catch (const std::exception& error) {  // nothing that a file says may end a sidecar that serves
     counters_.Add("reloads_refused");
-    log_->error("{} keeps the configuration it has: {}", config_.name, error.what());
+    log_->Say(Event::kReloadRefused, config_.name + " keeps the configuration it has: " + error.what(),
+              {{"why", std::string(error.what())}});
   }
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -2,8 +2,6 @@
 #ifndef UMBERDYKE_SIDECAR_SIDECAR_H_
 #define UMBERDYKE_SIDECAR_SIDECAR_H_
 
-#include <spdlog/logger.h>
-
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -15,6 +13,7 @@
 #include "flow/decisions.h"
 #include "edge/edge_connection.h"
 #include "flow/flow.h"
+#include "log/log.h"
 #include "loop/loop.h"
 #include "platform/platform.h"
 #include "server/real_server.h"
@@ -29,7 +28,7 @@
 class Sidecar : public EdgeOwner, public Actor {
  public:
   // Throws ConfigError where it cannot listen or the module finds the settings senseless.
-  Sidecar(Loop& loop, const Config& config, std::shared_ptr<spdlog::logger> log);
+  Sidecar(Loop& loop, const Config& config, std::shared_ptr<log::Log> log);
   ~Sidecar();
 
   Address address() const { return listener_.address(); }
@@ -53,7 +52,7 @@
   void Watch(bool on) override { entry_.Watch(on); }
   void CheckServer(ServerId server) override;
   void CloseIdle(ServerId server) override { servers_.CloseIdle(server); }
-  void Say(const std::string& text) override { log_->info("module: {}", text); }
+  void Say(const std::string& text) override;
 
   void Told(const ListChange& change);
   void AcceptWaiting();
@@ -65,7 +64,7 @@
 
   Loop& loop_;
   const Config config_;
-  const std::shared_ptr<spdlog::logger> log_;
+  const std::shared_ptr<log::Log> log_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   Counters counters_;
   const Platform platform_;
--- /dev/null
+++ b/tests/log_test.cpp
@@ -0,0 +1,67 @@
+// The log's events: as many as may come, each on the page that lists them, each line whole.
+#include "log/log.h"
+
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace umberdyke::log {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("events that come too often are held back and counted; the start and end never are", "[log]") {
+  RateLimit limit;
+  const RateLimit::Time start = RateLimit::Time() + 1h;
+  std::uint64_t held = 0, all_held = 0, told = 0;
+  for (int i = 0; i < 1000; ++i) {
+    told += limit.Take(Event::kModule, start + i * 1ms, &held) ? 1 : 0;
+    all_held += held;
+  }
+  CHECK(told ==
+        static_cast<std::uint64_t>(RateLimit::kBurst) + 1);  // and what one second gives back, less a hair
+  for (int i = 0; i < 1000; ++i) CHECK(limit.Take(Event::kListening, start, &held));
+  REQUIRE(limit.Take(Event::kModule, start + 10s, &held));
+  CHECK(all_held + held == 1000 - told);
+  REQUIRE(limit.Take(Event::kModule, start + 10s, &held));
+  CHECK(held == 0);
+  CHECK(limit.Take(Event::kReloaded, start, &held));  // each event has its own
+}
+
+TEST_CASE("every event has a name of its own and stands on the operators' page", "[log]") {
+  std::ifstream file(UMBERDYKE_SOURCE "/docs/events.md");
+  std::stringstream page;
+  page << file.rdbuf();
+  std::set<std::string_view> names;
+  for (size_t i = 0; i < EventKinds().size(); ++i) {
+    CHECK(static_cast<size_t>(EventKinds()[i].event) == i);
+    CHECK(names.insert(EventKinds()[i].name).second);
+    CHECK(page.str().find("| `" + std::string(EventKinds()[i].name) + "` |") != std::string::npos);
+  }
+}
+
+TEST_CASE("a JSON line holds whatever bytes come, and text stays the default form", "[log]") {
+  std::ostringstream out;
+  Log json(std::make_shared<spdlog::sinks::ostream_sink_st>(out), Format::kJson, Level::kInfo, "n1");
+  json.Say(Event::kModule, "a\n\"b\" \xff {}", {{"n", std::int64_t{7}}, {"ok", true}});
+  const std::string line = out.str();
+  CHECK(std::count(line.begin(), line.end(), '\n') == 1);
+  const auto read = nlohmann::json::parse(line);
+  CHECK(read["event"] == "module");
+  CHECK(read["instance"] == "n1");
+  CHECK(read["n"] == 7);
+  CHECK(read["ok"] == true);
+  out.str("");
+  Log text(std::make_shared<spdlog::sinks::ostream_sink_st>(out), Format::kText, Level::kWarning, "n1");
+  text.Say(Event::kListening, "unseen");
+  text.Say(Event::kDiscoveryBroke, "the watch on discovery broke: {}");
+  CHECK(out.str().find("unseen") == std::string::npos);
+  CHECK(out.str().find("[warning] the watch on discovery broke: {}") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace umberdyke::log
--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -2,8 +2,6 @@
 #ifndef UMBERDYKE_TESTS_NET_SITE_H_
 #define UMBERDYKE_TESTS_NET_SITE_H_
 
-#include <spdlog/sinks/null_sink.h>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -108,8 +106,7 @@
     }
     const std::string text = ConfigText(discovery.address(), ListText(1, true, lines), descriptors);
     sidecar = std::make_unique<Sidecar>(
-        loop, ParseConfig(text, NoEnvironment()),
-        std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>()));
+        loop, ParseConfig(text, NoEnvironment()), log::NoLog());
   }
   void Script(std::function<void(Party::Peer&)> script) {
     for (auto& server : real) server->script = script;
