--- a/src/lab/coordinator/ensemble.cpp
+++ b/src/lab/coordinator/ensemble.cpp
@@ -529,11 +529,9 @@
     all.push_back(std::move(done));
   }
   if (!in.ok()) return Code::kMarshalling;
-  Code first = Code::kOk;
   for (const Done& done : all) {
     if (failed) {
       const Code code = done.code;
-      if (first == Code::kOk && code != Code::kOk && code != Code::kInconsistent) first = code;
       out->Int(-1).Bool(false).Int(static_cast<std::int32_t>(code)).Int(static_cast<std::int32_t>(code));
       continue;
     }
@@ -547,7 +545,7 @@
   } else {
     tree_ = std::move(draft);
   }
-  return first;
+  return Code::kOk;  // what went wrong stands with each part
 }
 
 // After a reconnect: what changed behind the client's back is told now, for the rest watches are set anew.
