Count a drain as told only where the data handed out says so

The judge took any reading of the node as the news of its drain, also one of the older data from a member that lags or has not got the drain yet, so a sidecar that could not know was blamed. A drain declared while the server was cut off was also never said again.

--- a/src/lab/coordinator/ensemble.cpp
+++ b/src/lab/coordinator/ensemble.cpp
@@ -181,7 +181,7 @@
   const size_t member;
   std::int64_t session = 0;  // 0 until it has connected
   struct Read {
-    std::string path;
+    std::string path, data;
     net::Time sent;  // none yet while its answer waits
   };
   std::deque<Read> reads;  // told to nobody yet
@@ -432,7 +432,7 @@
       std::string data;
       const Code code = view.Get(path, who, &data, &stat);
       if (watch && code == Code::kOk) watches_.data[path].insert(&connection);
-      if (code == Code::kOk) connection.reads.push_back({path, {}});
+      if (code == Code::kOk) connection.reads.push_back({path, data, {}});
       out->Text(data);
       Put(out, stat);
       return code;
@@ -638,7 +638,7 @@
     for (const auto& connection : member->connections) {
       auto& reads = connection->reads;
       while (!reads.empty() && reads.front().sent != net::Time() && now - reads.front().sent > kSurely) {
-        if (on_read) on_read(reads.front().path, connection->session, reads.front().sent);
+        if (on_read) on_read(reads.front().path, reads.front().data, connection->session, reads.front().sent);
         reads.pop_front();
       }
     }
--- a/src/lab/coordinator/ensemble.h
+++ b/src/lab/coordinator/ensemble.h
@@ -69,7 +69,8 @@
 
   // A node's data has been told to a session: called a little after, with the time at which it went out, and
   // not at all where the connection broke or the answer was spoilt.
-  std::function<void(const std::string& path, std::int64_t session, net::Time when)> on_read;
+  std::function<void(const std::string& path, const std::string& data, std::int64_t session, net::Time when)>
+      on_read;
 
   struct Count {
     std::uint64_t requests = 0, notices = 0, bytes_out = 0, expired = 0;
--- a/src/lab/membership/run.cpp
+++ b/src/lab/membership/run.cpp
@@ -138,10 +138,11 @@
                   run.seed),
         ask_(loop_, [this] { AskNext(); }),
         fault_(loop_, [this] { FaultNext(); }) {
-    ensemble_.on_read = [this](const std::string& path, std::int64_t session, Time when) {
+    ensemble_.on_read = [this](const std::string& path, const std::string& data, std::int64_t session,
+                               Time when) {
       if (Mine(session)) return;
       for (const auto& server : servers_) {
-        if (server->node() == path) server->ToldDraining(when);
+        if (server->node() == path) server->Told(data, when);
       }
     };
   }
--- a/src/lab/membership/stand_in.cpp
+++ b/src/lab/membership/stand_in.cpp
@@ -136,7 +136,8 @@
     if (rc == nodes::kNodeExists) {
       // Its own, from before the connection broke, or an earlier life's that would vanish under it.
       client_->Get(node(), [this](int got, const std::string&, const nodes::NodeStat& stat) {
-        if (got != nodes::kOk || client_ == nullptr || stat.owner == client_->session_id()) return;
+        if (got != nodes::kOk || client_ == nullptr) return;
+        if (stat.owner == client_->session_id()) return Declare();  // what changed while it was cut off
         client_->Delete(node(), [this](int) { again_.Start(1ms); });
       });
     } else if (rc != nodes::kOk && rc != nodes::kClosing) {
@@ -152,6 +153,7 @@
 }
 
 void StandIn::Declare() {
+  // Lost with the connection, it is said again on the next one, by Register.
   if (client_ != nullptr) client_->Set(node(), Data(), [](int) {});
 }
 
--- a/src/lab/membership/stand_in.h
+++ b/src/lab/membership/stand_in.h
@@ -57,9 +57,10 @@
   void Start();
   bool up() const { return listener_ != nullptr; }
   bool draining() const { return draining_; }
-  // The sidecar was handed the data that says it drains.
-  void ToldDraining(net::Time when) {
-    if (draining_ && told_draining_ == net::Time()) told_draining_ = when;
+  // The sidecar was handed this data of the node. A lagging member, or one that has not heard of the drain
+  // yet, hands out older data: only data that says so tells of a drain.
+  void Told(const std::string& data, net::Time when) {
+    if (draining_ && told_draining_ == net::Time() && data == Data()) told_draining_ = when;
   }
   std::int64_t session() const { return client_ ? client_->session_id() : 0; }
   const std::string& id() const { return settings_.id; }
