Start the lab's and the tests' processes through one class, on addresses of their own

The child process was written twice, and the membership run probed a free port on 127.0.0.1, where any outgoing connection may take it before the sidecar binds it: one of 48 runs side by side ended with "address already in use". Both use lab/common/process now, with ports on the process's own 127/8 address. Dead members of the reconciler's content and the run go. A test shows that a drain handed out by a lagging member counts as not told.

--- /dev/null
+++ b/src/lab/common/process.cpp
@@ -0,0 +1,51 @@
+#include "lab/common/process.h"
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+namespace umberdyke::lab {
+
+Process::Process(const std::vector<std::string>& arguments, const std::string& log) {
+  std::vector<char*> argv;
+  for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
+  argv.push_back(nullptr);
+  pid_ = fork();
+  if (pid_ != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // it never outlives whoever started it, however that one ends
+  for (const char* name : {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"})
+    unsetenv(name);
+  if (std::freopen(log.c_str(), "w", stderr) == nullptr) _exit(126);
+  execv(argv[0], argv.data());
+  _exit(127);
+}
+
+Process::~Process() {
+  if (pid_ <= 0) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+void Process::Tell(int signal) const {
+  if (pid_ > 0) kill(pid_, signal);  // 0 and -1 would reach others
+}
+
+std::optional<int> Process::Ended() {
+  int status = 0;
+  if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return ended_;
+  pid_ = -1;
+  ended_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+  return ended_;
+}
+
+std::string OwnAddress() {
+  const pid_t pid = getpid();
+  return "127." + std::to_string(77 + pid / 62500 % 100) + "." + std::to_string(pid / 250 % 250) + "." +
+         std::to_string(1 + pid % 250);
+}
+
+}  // namespace umberdyke::lab
--- /dev/null
+++ b/src/lab/common/process.h
@@ -0,0 +1,41 @@
+// What the lab's runs and the tests have in common where they start programs of this repository: a child
+// process that never outlives them, and addresses that nobody else on the machine binds.
+//
+// Knows nothing of what the program does. Linux only (a child dies with whoever started it).
+#ifndef UMBERDYKE_LAB_COMMON_PROCESS_H_
+#define UMBERDYKE_LAB_COMMON_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace umberdyke::lab {
+
+// A process of the caller's own, ended by its id, at the latest by the destructor (SIGKILL).
+class Process {
+ public:
+  // `log` takes its standard error. A program that cannot be started ends with 126 or 127. The variables by
+  // which the platform sets a sidecar up are not handed on.
+  Process(const std::vector<std::string>& arguments, const std::string& log);
+  ~Process();
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Tell(int signal) const;
+  // Its exit status once it has ended; 128 where a signal ended it.
+  std::optional<int> Ended();
+
+ private:
+  pid_t pid_ = -1;
+  std::optional<int> ended_;
+};
+
+// An address of 127/8 that is this process's own: a port that it finds free there stays free, since others'
+// outgoing connections leave from 127.0.0.1.
+std::string OwnAddress();
+
+}  // namespace umberdyke::lab
+
+#endif  // UMBERDYKE_LAB_COMMON_PROCESS_H_
--- a/src/lab/membership/run.cpp
+++ b/src/lab/membership/run.cpp
@@ -1,7 +1,5 @@
 #include "lab/membership/run.h"
 
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -13,6 +11,7 @@
 #include <sstream>
 
 #include "files/files.h"
+#include "lab/common/process.h"
 #include "lab/coordinator/ensemble.h"
 
 namespace umberdyke::lab {
@@ -28,41 +27,11 @@
 constexpr auto kGiveUp = 4s;
 constexpr auto kSlack = 50ms;  // for the loop's own turns, which carry all the stand-ins
 
-// A process of this run's own, ended by its id.
-class Child {
- public:
-  Child(const std::vector<std::string>& arguments, const std::string& log) {
-    std::vector<char*> argv;
-    for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
-    argv.push_back(nullptr);
-    pid_ = fork();
-    if (pid_ != 0) return;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);  // it never outlives whoever started it, however that one ends
-    for (const char* name : {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"})
-      unsetenv(name);
-    if (std::freopen(log.c_str(), "w", stderr) == nullptr) _exit(126);
-    execv(argv[0], argv.data());
-    _exit(127);
-  }
-  ~Child() {
-    if (pid_ <= 0) return;
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
-  }
-  void Tell(int signal) const { kill(pid_, signal); }
-  bool Ended() {
-    if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = -1;
-    return pid_ <= 0;
-  }
-
- private:
-  pid_t pid_;
-};
-
-// A port that is free now: the sidecar binds it a moment later.
+// A port that is free now: the sidecar binds it a moment later. On an address of our own, as any connection
+// from 127.0.0.1 may take a port of that one in between.
 std::string FreeAddress(net::Loop& loop) {
   net::Listener probe(loop, [] {});
-  probe.Listen(*net::ParseAddress("127.0.0.1:0"));
+  probe.Listen(*net::ParseAddress(OwnAddress() + ":0"));
   return net::PrintAddress(probe.address());
 }
 
@@ -150,7 +119,6 @@
   MembershipReport Go() {
     Prepare();
     if (!report_.error.empty()) return report_;
-    start_ = Clock::now();
     AskNext();
     fault_.Start(run_.pace);
     const auto done = [this] { return faults_done_ >= run_.faults && Clock::now() >= quiet_; };
@@ -161,7 +129,7 @@
     report_.lost += open_;
     ReadCounters();
     child_->Tell(SIGTERM);
-    loop_.RunUntil([this] { return child_->Ended(); }, 10s);
+    loop_.RunUntil([this] { return child_->Ended().has_value(); }, 10s);
     if (!child_->Ended()) report_.error = "the sidecar did not end";
     for (const auto& caller : callers_) report_.twice += static_cast<std::uint64_t>(caller->extra);
     std::error_code ignored;
@@ -216,7 +184,7 @@
       report_.error = error;
       return;
     }
-    child_ = std::make_unique<Child>(
+    child_ = std::make_unique<Process>(
         std::vector<std::string>{run_.sidecar, "--config", folder_ + "/sidecar.json"}, folder_ + "/log");
     int ready = 0;
     for (int i = 0; i < 200 && ready != 200 && !child_->Ended(); ++i) {
@@ -546,14 +514,14 @@
   net::Loop loop_;
   Ensemble ensemble_;
   std::vector<std::unique_ptr<StandIn>> servers_;
-  std::unique_ptr<Child> child_;
+  std::unique_ptr<Process> child_;
   std::string folder_;
   net::Address address_{};
   std::vector<std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<net::Timer>> tasks_;
   std::vector<Fault> faults_;
   net::Timer ask_, fault_;
-  Time start_{}, next_ask_{}, quiet_{};
+  Time next_ask_{}, quiet_{};
   bool asking_ = true;
   std::uint64_t open_ = 0;
   int faults_done_ = 0;
--- a/src/lab/membership/stand_in.h
+++ b/src/lab/membership/stand_in.h
@@ -62,6 +62,7 @@
   void Told(const std::string& data, net::Time when) {
     if (draining_ && told_draining_ == net::Time() && data == Data()) told_draining_ = when;
   }
+  bool told() const { return told_draining_ != net::Time(); }
   std::int64_t session() const { return client_ ? client_->session_id() : 0; }
   const std::string& id() const { return settings_.id; }
   std::string node() const { return settings_.path + "/" + settings_.id; }
--- a/src/membership/nodes_source.cpp
+++ b/src/membership/nodes_source.cpp
@@ -70,8 +70,7 @@
     const std::string name = kKnown + server.id;
     data_[name] = server;
     reconciler_.Data(Clock::now(), name,
-                     {server.id, PrintAddress(server.address), server.state != UpstreamState::kReady, ""}, 1,
-                     1);
+                     {server.id, PrintAddress(server.address), server.state != UpstreamState::kReady}, 1, 1);
   }
   reconciler_.Take();  // the module has it already
 }
@@ -231,8 +230,7 @@
   } else if (const auto server = platform_.ReadMember(data, name)) {
     const bool draining = server->state != UpstreamState::kReady;
     data_[name] = *server;
-    reconciler_.Data(now, name, {server->id, PrintAddress(server->address), draining, data}, stat.birth,
-                     stat.changed);
+    reconciler_.Data(now, name, {server->id, PrintAddress(server->address), draining}, stat.birth, stat.changed);
   } else {
     counters_.Add("membership_malformed");
     reconciler_.Malformed(now, name, stat.birth, stat.changed);
--- a/src/reconcile/reconciler.h
+++ b/src/reconcile/reconciler.h
@@ -42,7 +42,6 @@
   std::string id;
   std::string address;
   bool draining = false;
-  std::string rest;  // whatever else was said; a change of it is told on
 };
 
 enum class Standing { kReady, kDraining, kGone };
--- a/tests/config/serve_test.cpp
+++ b/tests/config/serve_test.cpp
@@ -1,7 +1,5 @@
 // From a description to an answer: two applications that share a host are written, checked, and all their
 // sidecars started as processes on loopback; each serves a request, and each ends when it is told to.
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -14,6 +12,7 @@
 #include "cases.h"
 #include "ctl/command.h"
 #include "files/files.h"
+#include "lab/common/process.h"
 #include "net/site.h"
 
 namespace umberdyke::net {
@@ -21,47 +20,6 @@
 
 namespace fs = std::filesystem;
 
-// A process of this test's own, ended by its id.
-class Process {
- public:
-  Process(const std::string& log, const std::vector<std::string>& arguments) {
-    std::vector<char*> argv;
-    for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
-    argv.push_back(nullptr);
-    pid_ = fork();
-    if (pid_ != 0) return;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);  // it never outlives whoever started it, however that one ends
-    for (const char* name : {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"})
-      unsetenv(name);
-    if (std::freopen(log.c_str(), "w", stderr) == nullptr) _exit(126);
-    execv(argv[0], argv.data());
-    _exit(127);
-  }
-  ~Process() {
-    if (pid_ <= 0) return;
-    kill(pid_, SIGKILL);
-    waitpid(pid_, nullptr, 0);
-  }
-  void Tell(int signal) const { kill(pid_, signal); }
-  // Its exit status once it has ended.
-  std::optional<int> Ended() {
-    int status = 0;
-    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return ended_;
-    pid_ = -1;
-    ended_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
-    return ended_;
-  }
-
- private:
-  pid_t pid_;
-  std::optional<int> ended_;
-};
-
-// An address of 127/8 that is this process's own, so that no other test holds its ports.
-std::string OwnAddress() {
-  return "127.77." + std::to_string(getpid() / 250 % 250) + "." + std::to_string(1 + getpid() % 250);
-}
-
 std::string Replaced(std::string text, const std::string& from, const std::string& to) {
   for (size_t at = 0; (at = text.find(from, at)) != std::string::npos; at += to.size()) {
     text.replace(at, from.size(), to);
@@ -84,7 +42,7 @@
   };
   const fs::path folder = fs::temp_directory_path() / ("umberdyke-serve-" + std::to_string(getpid()));
   fs::create_directories(folder);
-  const std::string host = OwnAddress();
+  const std::string host = lab::OwnAddress();
   std::vector<std::string> descriptions, files;
   for (const char* name : {"linen-track", "valet-desk"}) {
     std::string text = config::TextOf(std::string(UMBERDYKE_SOURCE "/examples/apps/") + name + ".toml");
@@ -110,11 +68,11 @@
   REQUIRE(files.size() == 4);
   REQUIRE(ctl(check) == 0);
 
-  std::vector<std::unique_ptr<Process>> sidecars;
+  std::vector<std::unique_ptr<lab::Process>> sidecars;
   for (const std::string& file : files) {
-    sidecars.push_back(std::make_unique<Process>(
-        file + ".log",
-        std::vector<std::string>{UMBERDYKE_PROGRAM, "--config", file, "--log-format", "json"}));
+    sidecars.push_back(std::make_unique<lab::Process>(
+        std::vector<std::string>{UMBERDYKE_PROGRAM, "--config", file, "--log-format", "json"},
+        file + ".log"));
   }
   // The class and tenant of each application, and where its entry listens.
   const std::vector<std::pair<std::string, std::string>> asks = {
@@ -176,7 +134,7 @@
     REQUIRE(files::WriteWhole(path.string(), text).empty());
     std::vector<std::string> arguments = {UMBERDYKE_PROGRAM, "--config", path.string()};
     arguments.insert(arguments.end(), more.begin(), more.end());
-    Process process(path.string() + ".log", arguments);
+    lab::Process process(arguments, path.string() + ".log");
     std::optional<int> status;
     Loop loop;
     loop.RunUntil([&] { return (status = process.Ended()).has_value(); }, 10s);
@@ -190,7 +148,7 @@
   CHECK(run(good, {"--no-such-option"}) == 2);
   CHECK(run(good, {"--version"}) == 0);
   fs::remove(path);
-  CHECK(Process(path.string() + ".log", {UMBERDYKE_PROGRAM, "--check", "--config", path.string()}).Ended() !=
+  CHECK(lab::Process({UMBERDYKE_PROGRAM, "--check", "--config", path.string()}, path.string() + ".log").Ended() !=
         std::optional(0));
   fs::remove(path.string() + ".log");
 }
--- a/tests/membership/reconcile_test.cpp
+++ b/tests/membership/reconcile_test.cpp
@@ -16,7 +16,7 @@
 const Time kStart = Time() + 1h;
 
 Content At(const std::string& id, const std::string& address, bool draining = false) {
-  return {id, address, draining, ""};
+  return {id, address, draining};
 }
 
 // What the module knows after all that it was told.
--- a/tests/membership/service_test.cpp
+++ b/tests/membership/service_test.cpp
@@ -302,6 +302,30 @@
   CHECK(counters.Of("membership_file_refused") == 2);
 }
 
+TEST_CASE("a drain counts as told only once data that says so was handed out", "[service]") {
+  net::Loop loop;
+  Ensemble ensemble(loop, {"127.0.0.1:0"});
+  Hand hand(loop, ensemble, 5000ms);
+  REQUIRE(hand.Connected());
+  REQUIRE(hand.Make("/app") == nodes::kOk);
+  Ledger ledger;
+  StandIn server(loop, {ensemble.addresses(), "", 5000ms, ""}, {"s1", "east", "/app"}, ledger, 1);
+  REQUIRE(loop.RunUntil([&] { return ensemble.OwnerOf("/app/s1") != 0; }, 3s));
+  ensemble.on_read = [&](const std::string& path, const std::string& data, std::int64_t, net::Time when) {
+    if (path == server.node()) server.Told(data, when);
+  };
+  const auto told = [&] { return loop.RunUntil([&] { return server.told(); }, 300ms); };
+  // The member serves what it knew before the drain; whoever reads there cannot know of it.
+  ensemble.SetLagging(0, true);
+  server.Drain();
+  loop.RunUntil([] { return false; }, 50ms);
+  CHECK(hand.Get("/app/s1").second.find("ready") != std::string::npos);
+  CHECK_FALSE(told());
+  ensemble.SetLagging(0, false);
+  CHECK(hand.Get("/app/s1").second.find("draining") != std::string::npos);
+  CHECK(told());
+}
+
 TEST_CASE("under load and faults nothing is lost, doubled, or sent to a drained server", "[service]") {
   for (const std::uint64_t seed : {1, 2, 3}) {
     MembershipRun run;
