Test that a drain counts as told only by data that says so, with a lagging member

Two members: the reader's lags, the server's takes the drain. The judge before this change took the reading of the old data as the news.

--- a/src/membership/nodes_source.cpp
+++ b/src/membership/nodes_source.cpp
@@ -230,7 +230,8 @@
   } else if (const auto server = platform_.ReadMember(data, name)) {
     const bool draining = server->state != UpstreamState::kReady;
     data_[name] = *server;
-    reconciler_.Data(now, name, {server->id, PrintAddress(server->address), draining}, stat.birth, stat.changed);
+    reconciler_.Data(now, name, {server->id, PrintAddress(server->address), draining}, stat.birth,
+                     stat.changed);
   } else {
     counters_.Add("membership_malformed");
     reconciler_.Malformed(now, name, stat.birth, stat.changed);
--- a/tests/config/serve_test.cpp
+++ b/tests/config/serve_test.cpp
@@ -148,7 +148,8 @@
   CHECK(run(good, {"--no-such-option"}) == 2);
   CHECK(run(good, {"--version"}) == 0);
   fs::remove(path);
-  CHECK(lab::Process({UMBERDYKE_PROGRAM, "--check", "--config", path.string()}, path.string() + ".log").Ended() !=
+  const std::vector<std::string> check = {UMBERDYKE_PROGRAM, "--check", "--config", path.string()};
+  CHECK(lab::Process(check, path.string() + ".log").Ended() !=
         std::optional(0));
   fs::remove(path.string() + ".log");
 }
--- a/tests/membership/service_test.cpp
+++ b/tests/membership/service_test.cpp
@@ -304,12 +304,14 @@
 
 TEST_CASE("a drain counts as told only once data that says so was handed out", "[service]") {
   net::Loop loop;
-  Ensemble ensemble(loop, {"127.0.0.1:0"});
+  Ensemble ensemble(loop, {"127.0.0.1:0", "127.0.0.1:0"});
+  ensemble.faults(1).refuse = true;  // the reader is at the first member, the server at the second
   Hand hand(loop, ensemble, 5000ms);
   REQUIRE(hand.Connected());
   REQUIRE(hand.Make("/app") == nodes::kOk);
+  ensemble.faults(1).refuse = false;
   Ledger ledger;
-  StandIn server(loop, {ensemble.addresses(), "", 5000ms, ""}, {"s1", "east", "/app"}, ledger, 1);
+  StandIn server(loop, {{ensemble.addresses()[1]}, "", 5000ms, ""}, {"s1", "east", "/app"}, ledger, 1);
   REQUIRE(loop.RunUntil([&] { return ensemble.OwnerOf("/app/s1") != 0; }, 3s));
   ensemble.on_read = [&](const std::string& path, const std::string& data, std::int64_t, net::Time when) {
     if (path == server.node()) server.Told(data, when);
