--- a/src/config/check_application.cpp
+++ b/src/config/check_application.cpp
@@ -6,6 +6,7 @@
 #include <unordered_set>
 
 #include "config/application.h"
+#include "config/limits.h"
 #include "config/units.h"
 
 namespace umberdyke::config {
@@ -13,9 +14,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::int64_t kMostAttempts = 5;
-constexpr Micros kLongestDrain = 300ms;
-constexpr double kShareSlack = 0.001;  // shares are written with a few digits: three thirds are 0.999
 constexpr const char* kPlatformKey = "Idempotency-Key";
 
 std::string Scope(int group) {
--- a/src/config/check_sidecar.cpp
+++ b/src/config/check_sidecar.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <unordered_map>
 
+#include "config/limits.h"
 #include "config/sidecar_file.h"
 #include "config/units.h"
 
@@ -11,10 +12,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::int64_t kMostAttempts = 5;
-constexpr Micros kLongestDrain = 300ms;
-constexpr double kShareSlack = 0.001;
-
 const std::vector<std::pair<std::string, int>> kSemantics = {
     {"pure", static_cast<int>(Repeat::kSafe)},
     {"token", static_cast<int>(Repeat::kKeyed)},
--- a/src/zookeeper/node_client.cpp
+++ b/src/zookeeper/node_client.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "jute/requests.h"
+
 namespace umberdyke::nodes {
 
 using net::Clock;
@@ -11,18 +13,6 @@
 
 namespace {
 
-enum Type : std::int32_t {
-  kCreate = 1,
-  kDelete = 2,
-  kGet = 4,
-  kSet = 5,
-  kPing = 11,
-  kGetChildren2 = 12,
-  kAuth = 100,
-  kSetWatches = 101,
-  kCloseSession = -11,
-};
-constexpr std::int32_t kNoticeXid = -1, kPingXid = -2, kAuthXid = -4, kWatchesXid = -8;
 // A list of 100,000 names fits; beyond it a length is a lie.
 constexpr size_t kLargestMessage = size_t{16} << 20;
 constexpr Span kFirstWait = 10ms;  // before the next address, and more once all have failed
@@ -95,7 +85,7 @@
 }
 
 void NodeClient::Stop() {
-  if (state_ == State::kConnected) Send(jute::Writer().Int(++xid_).Int(kCloseSession));
+  if (state_ == State::kConnected) Send(jute::Writer().Int(++xid_).Int(jute::kClose));
   Abandon();
 }
 
@@ -183,7 +173,7 @@
   const net::Time now = Clock::now();
   // Silence for two thirds of the session's time leaves a third to get through elsewhere.
   if (now - heard_ >= timeout_ * 2 / 3) return Lost();
-  if (now - sent_ >= timeout_ / 3) Send(jute::Writer().Int(kPingXid).Int(kPing));
+  if (now - sent_ >= timeout_ / 3) Send(jute::Writer().Int(jute::kPingXid).Int(jute::kPing));
   timer_.Start(std::max<Span>(1ms, std::min(sent_ + timeout_ / 3, heard_ + timeout_ * 2 / 3) - now));
 }
 
@@ -237,7 +227,7 @@
   state_ = State::kConnected;
   failed_ = 0;
   if (!settings_.auth.empty()) {
-    Send(jute::Writer().Int(kAuthXid).Int(kAuth).Int(0).Text("digest").Text(settings_.auth));
+    Send(jute::Writer().Int(jute::kAuthXid).Int(jute::kAuth).Int(0).Text("digest").Text(settings_.auth));
   }
   SetWatches();
   timer_.Start(timeout_ / 3);
@@ -250,7 +240,13 @@
   if (data_watches_.empty() && child_watches_.empty()) return;
   const std::vector<std::string> data(data_watches_.begin(), data_watches_.end());
   const std::vector<std::string> children(child_watches_.begin(), child_watches_.end());
-  Send(jute::Writer().Int(kWatchesXid).Int(kSetWatches).Long(seen_).Texts(data).Texts({}).Texts(children));
+  Send(jute::Writer()
+           .Int(jute::kWatchesXid)
+           .Int(jute::kSetWatches)
+           .Long(seen_)
+           .Texts(data)
+           .Texts({})
+           .Texts(children));
 }
 
 void NodeClient::TakeReply(jute::Reader& in) {
@@ -258,9 +254,9 @@
   const std::int64_t zxid = in.Long();
   const std::int32_t code = in.Int();
   if (!in.ok()) return Lost();
-  if (xid == kNoticeXid) return TakeNotice(in);
-  if (xid == kPingXid || xid == kWatchesXid) return;
-  if (xid == kAuthXid) {
+  if (xid == jute::kNoticeXid) return TakeNotice(in);
+  if (xid == jute::kPingXid || xid == jute::kWatchesXid) return;
+  if (xid == jute::kAuthXid) {
     if (code == kOk) return;
     state_ = State::kStopped;
     timer_.Stop();
@@ -303,40 +299,36 @@
   Send(jute::Writer().Int(xid_).Int(type).Raw(body.bytes()));
 }
 
-void NodeClient::Children(const std::string& path, OnNames done) {
+// Lists and data alike: the content, then the node's stat. An answer that cannot be read ends the connection.
+template <typename Content>
+void NodeClient::ReadWatched(std::int32_t type, const std::string& path, Content (jute::Reader::*take)(),
+                             std::set<std::string>* watches,
+                             std::function<void(int, Content, const NodeStat&)> done) {
   const std::string full = Full(path);
-  Ask(kGetChildren2, jute::Writer().Text(full).Bool(true), [this, full, done](int rc, jute::Reader& in) {
-    std::vector<std::string> names;
-    NodeStat stat;
-    if (rc == kOk) {
-      names = in.Texts();
-      stat = ReadStat(in);
-      if (!in.ok()) {
-        done(kConnectionLost, {}, {});
-        return Lost();
-      }
-      child_watches_.insert(full);
-    }
-    done(rc, std::move(names), stat);
-  });
+  Ask(type, jute::Writer().Text(full).Bool(true),
+      [this, full, take, watches, done = std::move(done)](int rc, jute::Reader& in) {
+        Content content;
+        NodeStat stat;
+        if (rc == kOk) {
+          content = (in.*take)();
+          stat = ReadStat(in);
+          if (!in.ok()) {
+            done(kConnectionLost, {}, {});
+            return Lost();
+          }
+          watches->insert(full);
+        }
+        done(rc, std::move(content), stat);
+      });
+}
+
+void NodeClient::Children(const std::string& path, OnNames done) {
+  ReadWatched<std::vector<std::string>>(jute::kGetChildren2, path, &jute::Reader::Texts, &child_watches_,
+                                        std::move(done));
 }
 
 void NodeClient::Get(const std::string& path, OnContent done) {
-  const std::string full = Full(path);
-  Ask(kGet, jute::Writer().Text(full).Bool(true), [this, full, done](int rc, jute::Reader& in) {
-    std::string data;
-    NodeStat stat;
-    if (rc == kOk) {
-      data = in.Text();
-      stat = ReadStat(in);
-      if (!in.ok()) {
-        done(kConnectionLost, {}, {});
-        return Lost();
-      }
-      data_watches_.insert(full);
-    }
-    done(rc, std::move(data), stat);
-  });
+  ReadWatched<std::string>(jute::kGet, path, &jute::Reader::Text, &data_watches_, std::move(done));
 }
 
 void NodeClient::Create(const std::string& path, const std::string& data, bool ephemeral, OnDone done) {
@@ -349,7 +341,7 @@
     body.Text("world").Text("anyone");
   }
   body.Int(ephemeral ? 1 : 0);
-  Ask(kCreate, body, [done](int rc, jute::Reader&) { done(rc); });
+  Ask(jute::kCreate, body, [done](int rc, jute::Reader&) { done(rc); });
 }
 
 void NodeClient::CreateEphemeral(const std::string& path, const std::string& data, OnDone done) {
@@ -361,11 +353,12 @@
 }
 
 void NodeClient::Set(const std::string& path, const std::string& data, OnDone done) {
-  Ask(kSet, jute::Writer().Text(Full(path)).Text(data).Int(-1), [done](int rc, jute::Reader&) { done(rc); });
+  Ask(jute::kSet, jute::Writer().Text(Full(path)).Text(data).Int(-1),
+      [done](int rc, jute::Reader&) { done(rc); });
 }
 
 void NodeClient::Delete(const std::string& path, OnDone done) {
-  Ask(kDelete, jute::Writer().Text(Full(path)).Int(-1), [done](int rc, jute::Reader&) { done(rc); });
+  Ask(jute::kDelete, jute::Writer().Text(Full(path)).Int(-1), [done](int rc, jute::Reader&) { done(rc); });
 }
 
 }  // namespace umberdyke::nodes
--- a/src/zookeeper/node_client.h
+++ b/src/zookeeper/node_client.h
@@ -114,6 +114,10 @@
   void Send(const jute::Writer& message);
   void Ask(std::int32_t type, const jute::Writer& body, std::function<void(int rc, jute::Reader& in)> done);
   void Create(const std::string& path, const std::string& data, bool ephemeral, OnDone done);
+  template <typename Content>
+  void ReadWatched(std::int32_t type, const std::string& path, Content (jute::Reader::*take)(),
+                   std::set<std::string>* watches,
+                   std::function<void(int, Content, const NodeStat&)> done);
   void SetWatches();
   void EndCalls(int rc);
   std::string Full(const std::string& path) const { return settings_.chroot + path; }
