Restart the sidecar within the membership run

The run under faults had one sidecar life, so nothing showed what becomes of requests while a sidecar is replaced and its session and list are new. A fault now tells it to end, waits, and starts it again on its address; clients knock again only where no server ever saw the request, so that a lost one is still counted. The last counters of each life are read from its log. The clients' connection and the sidecar's file have files of their own.

--- a/src/lab/membership/run.cpp
+++ b/src/lab/membership/run.cpp
@@ -5,14 +5,16 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "files/files.h"
 #include "lab/common/process.h"
 #include "lab/coordinator/ensemble.h"
+#include "lab/membership/caller.h"
+#include "lab/membership/sidecar_file.h"
 
 namespace umberdyke::lab {
 
@@ -25,6 +27,7 @@
 
 constexpr const char* kPath = "/linen-track/front";
 constexpr auto kGiveUp = 4s;
+constexpr auto kDoor = 100ms;  // after a restart connections of before may still be found broken
 constexpr auto kSlack = 50ms;  // for the loop's own turns, which carry all the stand-ins
 
 // A port that is free now: the sidecar binds it a moment later. On an address of our own, as any connection
@@ -35,69 +38,6 @@
   return net::PrintAddress(probe.address());
 }
 
-// One connection of the clients: a request at a time.
-class Caller : public net::StreamUser {
- public:
-  using Done = std::function<void(Caller&, int status)>;  // 0: the connection ended without an answer
-  Caller(net::Loop& loop, const net::Address& to) : stream(loop, this) { broken_ = !stream.Connect(to); }
-  void Ask(const std::string& request, Done done) {
-    done_ = std::move(done);
-    asking = true;
-    if (up_) {
-      stream.Write(request);
-    } else {
-      early_ = request;
-    }
-  }
-  void OnConnected(bool ok) override {
-    if (!ok) return OnEnd();
-    up_ = true;
-    stream.Read();
-    if (!early_.empty()) stream.Write(std::exchange(early_, ""));
-  }
-  void OnData(std::string_view bytes) override {
-    while (!bytes.empty() && stream.open()) {
-      size_t used = 0;
-      const net::Parsed parsed = parser_.Feed(bytes, &used);
-      bytes.remove_prefix(used);
-      if (parsed == net::Parsed::kMore) return;
-      if (parsed != net::Parsed::kComplete) return OnEnd();
-      const net::Message answer = parser_.Take();
-      const std::string* connection = answer.Find("Connection");
-      if (connection != nullptr && *connection == "close") broken_ = true;
-      Finish(answer.status);
-    }
-  }
-  void OnEnd() override {
-    broken_ = true;
-    stream.Close();
-    if (asking) Finish(0);
-  }
-  void OnWritten(bool ok) override {
-    if (!ok) OnEnd();
-  }
-  bool usable() const { return !broken_ && !asking && stream.open(); }
-  bool asking = false;
-  int extra = 0;  // answers to nothing
-  net::Stream stream;
-
- private:
-  void Finish(int status) {
-    if (!asking) {
-      ++extra;
-      return;
-    }
-    asking = false;
-    const Done done = std::exchange(done_, nullptr);
-    done(*this, status);
-  }
-  net::HttpParser parser_{net::HttpParser::Kind::kResponse};
-  Done done_;
-  std::string early_;
-  bool up_ = false;
-  bool broken_ = false;
-};
-
 class Runner {
  public:
   explicit Runner(const MembershipRun& run)
@@ -106,7 +46,8 @@
         ensemble_(loop_, std::vector<std::string>(static_cast<size_t>(run.addresses), "127.0.0.1:0"), {},
                   run.seed),
         ask_(loop_, [this] { AskNext(); }),
-        fault_(loop_, [this] { FaultNext(); }) {
+        fault_(loop_, [this] { FaultNext(); }),
+        wait_(loop_, [this] { AwaitSidecar(); }) {
     ensemble_.on_read = [this](const std::string& path, const std::string& data, std::int64_t session,
                                Time when) {
       if (Mine(session)) return;
@@ -125,12 +66,13 @@
     loop_.RunUntil(done, 10min);
     asking_ = false;
     ask_.Stop();
-    loop_.RunUntil([this] { return open_ == 0; }, kGiveUp + 1s);
+    loop_.RunUntil([this] { return open_ == 0 && !restarting_; }, kGiveUp + 3s);
     report_.lost += open_;
     ReadCounters();
     child_->Tell(SIGTERM);
     loop_.RunUntil([this] { return child_->Ended().has_value(); }, 10s);
     if (!child_->Ended()) report_.error = "the sidecar did not end";
+    TakeLastWords();
     for (const auto& caller : callers_) report_.twice += static_cast<std::uint64_t>(caller->extra);
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
@@ -179,71 +121,22 @@
     std::filesystem::create_directories(folder_);
     const std::string listen = FreeAddress(loop_);
     address_ = *net::ParseAddress(listen);
-    if (const std::string error = files::WriteWhole(folder_ + "/sidecar.json", Config(listen));
+    if (const std::string error = files::WriteWhole(
+            folder_ + "/sidecar.json", SidecarFile(listen, kPath, ensemble_.addresses(), run_.session));
         !error.empty()) {
       report_.error = error;
       return;
     }
-    child_ = std::make_unique<Process>(
-        std::vector<std::string>{run_.sidecar, "--config", folder_ + "/sidecar.json"}, folder_ + "/log");
+    StartSidecar();
     int ready = 0;
     for (int i = 0; i < 200 && ready != 200 && !child_->Ended(); ++i) {
       ready = Page("/-/ready", nullptr);
       if (ready != 200) loop_.RunUntil([] { return false; }, 25ms);
     }
-    if (ready != 200)
-      report_.error = "the sidecar did not start: " + files::ReadWhole(folder_ + "/log", 4096).text;
+    if (ready != 200) report_.error = "the sidecar did not start: " + files::ReadWhole(log_, 4096).text;
     loop_.RunUntil([] { return false; }, 300ms);  // it reads the list
   }
 
-  std::string Config(const std::string& listen) const {
-    nlohmann::json json = {
-        {"format", 2},
-        {"application", "linen-track"},
-        {"name", "front-1"},
-        {"listen", listen},
-        {"membership",
-         {{"kind", "nodes"},
-          {"servers", ensemble_.addresses()},
-          {"path", kPath},
-          {"session_us", std::chrono::duration_cast<std::chrono::microseconds>(run_.session).count()},
-          {"register_path", "/linen-track/sidecar-front-1"},
-          {"guard_hold_us", 3'000'000}}},
-        {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-        {"settings",
-         {{"tier", 0},
-          {"balancers", 1},
-          {"az", 0},
-          {"dcs", {"east", "west"}},
-          {"kinds", {"std"}},
-          {"discovery", "ask"},
-          {"period_us", 1000},
-          {"ceilings",
-           {{"cancel", true},
-            {"most_tries", 5},
-            {"retry_after", true},
-            {"max_retry_after_us", 2'000'000},
-            {"connect_timeout_us", 150'000},
-            {"conn_idle_us", 10'000'000},
-            {"probes", true}}},
-          {"report", {{"how", "piggyback"}, {"columns", {"queue", "inflight"}}}},
-          {"rules", {{"stop_sending_within_us", 300'000}, {"let_go_in_us", 300'000}}},
-          {"request_classes",
-           {{{"name", "lot-status"},
-             {"semantics", "pure"},
-             {"target_us", 1'500'000},
-             {"hard_limit_us", 4'000'000},
-             {"points", 2}},
-            {{"name", "handover"},
-             {"semantics", "token"},
-             {"group", "zone"},
-             {"window_us", 6'000'000},
-             {"target_us", 1'500'000},
-             {"hard_limit_us", 4'000'000},
-             {"points", 6}}}}}}};
-    return json.dump(2);
-  }
-
   // A page of the sidecar's own, asked for beside the load.
   int Page(const std::string& path, std::string* body) {
     struct Reader : net::StreamUser {
@@ -281,8 +174,6 @@
     std::string name;
     std::uint64_t count = 0;
     while (lines >> name >> count) report_.counters[name] = count;
-    report_.sidecar_broken_invariants =
-        report_.counters.contains("invariant_broken") ? report_.counters["invariant_broken"] : 0;
   }
 
   // --- Clients: on a schedule that no answer moves ---
@@ -299,38 +190,103 @@
     ask_.Start(std::max<Span>(1ms, next_ask_ - Clock::now()));
   }
 
+  struct Call {
+    std::string id, request;
+    Time asked;
+  };
+
   void AskOne() {
     const std::string id = "r" + std::to_string(report_.asked++);
     const bool handover = Unit() < 0.4;
-    std::string request =
-        (handover ? "POST /api HTTP/1.1\r\n" : "GET /api?lot=7 HTTP/1.1\r\n") +
-        std::string("Host: s\r\nX-Request-ID: ") + id +
-        "\r\nX-Priority-Class: " + (handover ? "handover" : "lot-status") + "\r\nX-Timeout-Ms: 4000\r\n" +
-        (handover ? "Idempotency-Key: k-" + id + "\r\nContent-Length: 4\r\n\r\nlot7" : "\r\n");
+    const auto call = std::make_shared<Call>();
+    call->id = id;
+    call->asked = Clock::now();
+    call->request = (handover ? "POST /api HTTP/1.1\r\n" : "GET /api?lot=7 HTTP/1.1\r\n") +
+                    std::string("Host: s\r\nX-Request-ID: ") + id +
+                    "\r\nX-Priority-Class: " + (handover ? "handover" : "lot-status") +
+                    "\r\nX-Timeout-Ms: 4000\r\n" +
+                    (handover ? "Idempotency-Key: k-" + id + "\r\nContent-Length: 4\r\n\r\nlot7" : "\r\n");
+    ++open_;
+    Ask(call);
+  }
+
+  Caller& FreeCaller() {
     const auto free =
         std::find_if(callers_.begin(), callers_.end(), [](const auto& c) { return c->usable(); });
-    Caller* caller = free == callers_.end() ? nullptr : free->get();
-    if (caller == nullptr) {
-      callers_.push_back(std::make_unique<Caller>(loop_, address_));
-      caller = callers_.back().get();
+    if (free != callers_.end()) return **free;
+    callers_.push_back(std::make_unique<Caller>(loop_, address_));
+    return *callers_.back();
+  }
+
+  void Ask(const std::shared_ptr<Call>& call) {
+    FreeCaller().Ask(call->request, [this, call](Caller&, int status) { Answered(call, status); });
+  }
+
+  void Answered(const std::shared_ptr<Call>& call, int status) {
+    const Time now = Clock::now();
+    // While the sidecar is restarted its door is shut. What no server ever saw was never taken, and a client
+    // knocks again; what one saw has to be answered.
+    const bool shut = restarting_ || now - back_ < kDoor;
+    if (status == 0 && shut && !report_.ledger.seen.contains(call->id) &&
+        now - call->asked < kGiveUp - 500ms) {
+      ++report_.knocked_again;
+      return Later(25ms, [this, call] { Ask(call); });
     }
-    ++open_;
-    const Time asked = Clock::now();
-    caller->Ask(request, [this, asked](Caller&, int status) {
-      --open_;
-      if (status == 200) {
-        ++report_.served;
-      } else if (status == 503 || status == 429) {
-        ++report_.turned_down;
-      } else if (status != 0) {
-        ++report_.failed;
-      } else {
-        ++report_.lost;
-      }
-      if (status != 0 && Clock::now() - asked > kGiveUp + kSlack) ++report_.late;
+    --open_;
+    if (status == 200) {
+      ++report_.served;
+    } else if (status == 503 || status == 429) {
+      ++report_.turned_down;
+    } else if (status != 0) {
+      ++report_.failed;
+    } else {
+      ++report_.lost;
+    }
+    if (status != 0 && now - call->asked > kGiveUp + kSlack) ++report_.late;
+  }
+
+  // --- The sidecar's own life ---
+
+  void StartSidecar() {
+    log_ = folder_ + "/log." + std::to_string(++lives_);
+    child_ = std::make_unique<Process>(
+        std::vector<std::string>{run_.sidecar, "--config", folder_ + "/sidecar.json"}, log_);
+  }
+
+  // A planned restart, as a roll-out does it: told to end, waited for, started again on the same address.
+  void RestartSidecar() {
+    if (restarting_) return;
+    restarting_ = true;
+    ++report_.restarts;
+    child_->Tell(SIGTERM);
+    wait_.Start(20ms);
+  }
+
+  void AwaitSidecar() {
+    if (child_ != nullptr && !started_again_) {
+      const auto status = child_->Ended();
+      if (!status) return wait_.Start(20ms);
+      if (*status != 0) report_.error = "the sidecar ended with status " + std::to_string(*status);
+      TakeLastWords();
+      StartSidecar();
+      started_again_ = true;
+    }
+    FreeCaller().Ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n", [this](Caller&, int status) {
+      if (status != 200) return wait_.Start(25ms);
+      restarting_ = started_again_ = false;
+      back_ = Clock::now();
     });
   }
 
+  // The counters of a life that is over stand in its log.
+  void TakeLastWords() {
+    const std::string text = files::ReadWhole(log_, 1 << 20).text;
+    const std::string name = "invariant_broken ";
+    const size_t at = text.rfind(name);
+    if (at == std::string::npos) return;
+    report_.sidecar_broken_invariants += std::strtoull(text.c_str() + at + name.size(), nullptr, 10);
+  }
+
   // --- Faults ---
 
   struct Fault {
@@ -448,6 +404,7 @@
                },
                Between(200, 700));
          }},
+        {"sidecar restarts", 0.5, [this] { RestartSidecar(); }},
         {"server crashes", 2,
          [this] {
            if (StandIn* s = Victim()) {
@@ -520,8 +477,11 @@
   std::vector<std::unique_ptr<Caller>> callers_;
   std::vector<std::unique_ptr<net::Timer>> tasks_;
   std::vector<Fault> faults_;
-  net::Timer ask_, fault_;
-  Time next_ask_{}, quiet_{};
+  net::Timer ask_, fault_, wait_;
+  Time next_ask_{}, quiet_{}, back_{};
+  std::string log_;  // of the present life
+  int lives_ = 0;
+  bool restarting_ = false, started_again_ = false;
   bool asking_ = true;
   std::uint64_t open_ = 0;
   int faults_done_ = 0;
@@ -544,8 +504,9 @@
   std::ostringstream out;
   out << "seed " << run.seed << ", " << run.servers << " servers, " << run.faults << " faults\n"
       << "asked " << report.asked << ": served " << report.served << ", turned down " << report.turned_down
-      << ", failed " << report.failed << "; lost " << report.lost << ", late " << report.late
-      << ", answered twice " << report.twice << "\n"
+      << ", failed " << report.failed << " (knocked again at " << report.restarts << " restarts "
+      << report.knocked_again << "); lost " << report.lost << ", late " << report.late << ", answered twice "
+      << report.twice << "\n"
       << "run by the servers: " << report.ledger.runs << ", repeats dropped " << report.ledger.repeats_dropped
       << ", handovers run twice " << report.ledger.doubled << ", second copies at once "
       << report.ledger.at_once << ", sent to a drained server after 300 ms " << report.ledger.late_to_drained
--- a/src/lab/membership/run.h
+++ b/src/lab/membership/run.h
@@ -31,6 +31,9 @@
   std::uint64_t lost = 0;   // no final answer in time, or a connection that ended without one
   std::uint64_t late = 0;   // a final answer later than the client waits
   std::uint64_t twice = 0;  // more than one answer
+  // Asked again because the sidecar was being restarted, and no server had seen the request.
+  std::uint64_t knocked_again = 0;
+  int restarts = 0;  // of the sidecar
   Ledger ledger;
   std::map<std::string, int> faults;  // by kind
   std::uint64_t sidecar_broken_invariants = 0;
--- a/src/lab/membership/stand_in.cpp
+++ b/src/lab/membership/stand_in.cpp
@@ -196,6 +196,7 @@
   const std::string* id = request.Find("X-Request-ID");
   const std::string* key = request.Find("Idempotency-Key");
   if (id == nullptr) return peer.Reply(400, "no id");
+  ledger_.seen.insert(*id);
   if (working_.contains(*id)) ++ledger_.at_once;
   const Span work = Span(static_cast<Span::rep>(static_cast<double>(settings_.work.count()) *
                                                 std::exponential_distribution<double>(1)(random_)));
--- a/src/lab/membership/stand_in.h
+++ b/src/lab/membership/stand_in.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "http1/http.h"
@@ -28,6 +29,7 @@
     int runs = 0;
   };
   std::unordered_map<std::string, Handover> keys;  // by idempotency key
+  std::unordered_set<std::string> seen;            // request ids
   std::uint64_t runs = 0;
   std::uint64_t repeats_dropped = 0;  // a known key, in its zone and window: answered, not run again
   std::uint64_t doubled = 0;          // handovers that ran a second time
