Look up nothing for membership on the platform's path

Each attempt's end looked its server up for sources that keep servers against their list; the platform's discovery is none of these. Whether the look-up is the cause is to be read again in turn: its cost alone does not explain it.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -200,7 +200,7 @@
 
 // A source may keep servers against its own list for as long as they can be reached.
 void Sidecar::Heard(ServerId server, Outcome outcome) {
-  if (outcome != Outcome::kConnectFailed && outcome != Outcome::kOk) return;
+  if (!config_.membership || (outcome != Outcome::kConnectFailed && outcome != Outcome::kOk)) return;
   if (const ServerRecord* record = entry_.Find(server); record != nullptr) {
     source_->Heard(record->id, outcome == Outcome::kOk);
   }
