Emulate clients, sidecars, tiers and troubles in simulated time, with experiments on top

The emulator runs the module unchanged beside seven reference policies, checks every rule at each step, and is the same for the same seed; experiments in TOML run over all cores, are kept cell by cell, go on after an interrupt, and give intervals over seeds, charts, a page, a trace of one request, and paired comparisons.

--- /dev/null
+++ b/src/emulator/policy.cpp
@@ -0,0 +1,297 @@
+#include "emulator/policy.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace umberdyke::emulator {
+namespace {
+
+class ModulePolicy : public Policy {
+ public:
+  ModulePolicy(const Settings& settings, std::uint64_t seed, Micros now, Actions* out)
+      : balancer_(settings, seed, now, out) {}
+  void OnList(Micros now, ListUpdate kind, const std::vector<UpstreamEntry>& entries, Actions* out) override {
+    balancer_.OnList(now, kind, entries, out);
+  }
+  void OnRequest(Micros now, const Request& request, Actions* out) override {
+    balancer_.OnRequest(now, request, out);
+  }
+  void OnAttemptEnd(Micros now, const AttemptEnd& end, Actions* out) override {
+    balancer_.OnAttemptEnd(now, end, out);
+  }
+  void OnClientGone(Micros now, RequestId request, Actions* out) override {
+    balancer_.OnClientGone(now, request, out);
+  }
+  void OnTimer(Micros now, std::uint64_t token, Actions* out) override { balancer_.OnTimer(now, token, out); }
+  void OnCheck(Micros now, UpstreamId upstream, Outcome outcome, const std::optional<LoadReport>& report,
+               Actions* out) override {
+    balancer_.OnCheck(now, upstream, outcome, report, out);
+  }
+
+ private:
+  Balancer balancer_;
+};
+
+// What the reference policies share: the list, own calls in flight, and tries elsewhere of what has not run.
+class Reference : public Policy {
+ public:
+  explicit Reference(const Caller& caller)
+      : settings_(caller.settings), picks_(caller.picks), truth_(caller.truth) {}
+
+  void OnList(Micros, ListUpdate kind, const std::vector<UpstreamEntry>& entries, Actions*) override {
+    if (kind == ListUpdate::kFailed) return;
+    if (kind != ListUpdate::kChanges) {
+      for (Known& k : known_) k.ready = false;
+    }
+    for (const UpstreamEntry& entry : entries) {
+      const auto [it, is_new] = index_.try_emplace(entry.id, known_.size());
+      if (is_new) known_.push_back({});
+      Known& k = known_[it->second];
+      if (entry.ready_at > k.ready_at) k.chips = 0;
+      k.id = entry.id;
+      k.ready = entry.state == UpstreamState::kReady;
+      k.ready_at = entry.ready_at;
+    }
+    ready_.clear();
+    for (std::size_t i = 0; i < known_.size(); ++i) {
+      if (known_[i].ready) ready_.push_back(i);
+    }
+  }
+
+  void OnRequest(Micros now, const Request& request, Actions* out) override {
+    Held held;
+    held.request_class = request.request_class;
+    held.deadline = now + request.time_left;
+    if (!TrySend(now, request.id, held, out)) {
+      out->emplace_back(Refuse{request.id, 0});
+      return;
+    }
+    held_[request.id] = held;
+  }
+
+  void OnAttemptEnd(Micros now, const AttemptEnd& end, Actions* out) override {
+    const auto at = index_.find(end.upstream);
+    if (at != index_.end()) {
+      --known_[at->second].in_flight;
+      Hear(now, known_[at->second], end);
+    }
+    const auto it = held_.find(end.request);
+    if (it == held_.end()) return;
+    Held& held = it->second;
+    if (end.settled || end.outcome == Outcome::kOk) {
+      held_.erase(it);
+      return;
+    }
+    const bool never_ran = end.outcome == Outcome::kRejected || end.outcome == Outcome::kConnectFailed ||
+                           end.outcome == Outcome::kNotSent;
+    held.may_have_run = held.may_have_run || !never_ran;
+    const bool may = !held.may_have_run ||
+                     settings_.classes[static_cast<std::size_t>(held.request_class)].repeat == Repeat::kSafe;
+    if (may && end.outcome != Outcome::kUnfit && held.attempts < settings_.max_attempts &&
+        now < held.deadline && TrySend(now, end.request, held, out)) {
+      return;
+    }
+    out->emplace_back(Fail{end.request});
+    held_.erase(it);
+  }
+
+  void OnClientGone(Micros, RequestId request, Actions*) override { held_.erase(request); }
+  void OnTimer(Micros, std::uint64_t, Actions*) override {}
+  void OnCheck(Micros, UpstreamId, Outcome, const std::optional<LoadReport>&, Actions*) override {}
+
+ protected:
+  struct Known {
+    UpstreamId id = 0;
+    bool ready = false;
+    Micros ready_at = 0;
+    int in_flight = 0;
+    // of bloc only
+    int chips = 0;
+    Micros heard = 0;
+    double sum = 0, reports = 0, mean = 0;
+    Micros window = 0;
+  };
+  struct Held {
+    int request_class = 0;
+    int attempts = 0;
+    bool may_have_run = false;
+    Micros deadline = 0;
+    std::size_t last = ~std::size_t{0};
+  };
+  // One of ready_, which is not empty; ~0 for nobody.
+  virtual std::size_t Pick(Micros now, RequestId request, const Held& held) = 0;
+  virtual void Hear(Micros, Known&, const AttemptEnd&) {}
+  std::size_t Any() { return ready_[picks_.Below(ready_.size())]; }
+  // Not the one that has just refused, where there is another.
+  std::size_t AnyOther(const Held& held) {
+    std::size_t one = Any();
+    for (int i = 0; i < 3 && one == held.last; ++i) one = Any();
+    return one;
+  }
+  template <typename Cost>
+  std::size_t Least(const Held& held, Cost&& cost) {
+    std::size_t best = ~std::size_t{0}, ties = 0;
+    double least = 0;
+    for (const std::size_t i : ready_) {
+      if (i == held.last && ready_.size() > 1) continue;
+      const double c = cost(known_[i]);
+      if (best == ~std::size_t{0} || c < least) {
+        best = i;
+        least = c;
+        ties = 1;
+      } else if (c == least && picks_.Below(++ties) == 0) {
+        best = i;  // evenly among equals
+      }
+    }
+    return best;
+  }
+
+  const Settings& settings_;
+  Stream& picks_;
+  const Truth& truth_;
+  std::vector<Known> known_;
+  std::vector<std::size_t> ready_;
+
+ private:
+  bool TrySend(Micros now, RequestId id, Held& held, Actions* out) {
+    if (ready_.empty()) return false;
+    const std::size_t i = Pick(now, id, held);
+    if (i == ~std::size_t{0}) return false;
+    held.last = i;
+    ++held.attempts;
+    ++known_[i].in_flight;
+    out->emplace_back(Send{id, known_[i].id, 0});
+    return true;
+  }
+
+  std::unordered_map<UpstreamId, std::size_t> index_;
+  std::unordered_map<RequestId, Held> held_;
+};
+
+class RandomPick : public Reference {
+  using Reference::Reference;
+  std::size_t Pick(Micros, RequestId, const Held& held) override { return AnyOther(held); }
+};
+
+class RoundRobin : public Reference {
+ public:
+  explicit RoundRobin(const Caller& caller) : Reference(caller), next_(caller.picks.Bits()) {}
+
+ private:
+  std::size_t Pick(Micros, RequestId, const Held&) override { return ready_[next_++ % ready_.size()]; }
+  std::uint64_t next_;  // callers do not go round in step
+};
+
+class LeastConnections : public Reference {
+  using Reference::Reference;
+  std::size_t Pick(Micros, RequestId, const Held& held) override {
+    return Least(held, [](const Known& k) { return static_cast<double>(k.in_flight); });
+  }
+};
+
+class TwoChoices : public Reference {
+  using Reference::Reference;
+  std::size_t Pick(Micros, RequestId, const Held& held) override {
+    const std::size_t one = AnyOther(held), two = AnyOther(held);
+    return known_[one].in_flight <= known_[two].in_flight ? one : two;
+  }
+};
+
+// Sees every queue as it is, as one balancer for all would.
+class ShortestQueue : public Reference {
+  using Reference::Reference;
+  std::size_t Pick(Micros, RequestId, const Held& held) override {
+    return Least(held, [this](const Known& k) { return truth_.InSystem(k.id); });
+  }
+};
+
+// Sees all work and every speed, sends where a call is done first, and refuses what cannot be done in time:
+// no policy can do much better, and none can be built.
+class Oracle : public Reference {
+  using Reference::Reference;
+  std::size_t Pick(Micros now, RequestId request, const Held& held) override {
+    const double work = truth_.Work(request);
+    const auto done = [&](const Known& k) {
+      return truth_.Serves(k.id) ? truth_.Backlog(k.id) + work / truth_.Speed(k.id) : 1e18;
+    };
+    const std::size_t best = Least(held, done);
+    if (best == ~std::size_t{0}) return best;
+    const double aim =
+        static_cast<double>(settings_.classes[static_cast<std::size_t>(held.request_class)].aim);
+    const double by = std::min(aim, static_cast<double>(held.deadline - now));
+    return done(known_[best]) > by ? ~std::size_t{0} : best;
+  }
+};
+
+// The paper's algorithms 1 and 3 as printed, the server's part worked out from its reports.
+class PlainBloc : public Reference {
+ public:
+  explicit PlainBloc(const Caller& caller) : Reference(caller), capacity_(caller.scenario.bloc_capacity) {}
+
+ private:
+  static constexpr Micros kWindow = 30'000'000;
+  static constexpr Micros kReset = 1'000'000;
+
+  bool Active(Micros now, const Known& k) const { return k.chips > 0 || now - k.heard > kReset; }
+  std::size_t Draw(Micros now, const Held& held) {
+    for (int i = 0; i < 64; ++i) {
+      const std::size_t one = Any();
+      if (Active(now, known_[one])) return one;
+    }
+    return AnyOther(held);  // the paper draws for ever; nobody is active
+  }
+  std::size_t Pick(Micros now, RequestId, const Held& held) override {
+    const std::size_t one = Draw(now, held), two = Draw(now, held);
+    const std::size_t best = known_[one].in_flight < known_[two].in_flight ? one : two;
+    Known& k = known_[best];
+    if (k.chips <= 0) {
+      k.heard = now;
+    } else {
+      --k.chips;
+    }
+    return best;
+  }
+  void Hear(Micros now, Known& k, const AttemptEnd& end) override {
+    if (end.outcome == Outcome::kRejected) {
+      k.chips = 0;
+      k.heard = now;
+      return;
+    }
+    if (!end.report || !end.report->in_flight) return;
+    k.heard = now;
+    const double queue = *end.report->in_flight;
+    if (now - k.window > kWindow) {
+      if (k.reports > 0) k.mean = k.sum / k.reports;
+      k.sum = k.reports = 0;
+      k.window = now;
+    }
+    k.sum += queue;
+    k.reports += 1;
+    const double capacity = capacity_ > 0 ? capacity_ : k.mean;
+    if (capacity <= 0 || picks_.Unit() >= queue / (0.8 * capacity)) k.chips += 1;
+  }
+
+  const double capacity_;
+};
+
+}  // namespace
+
+const std::vector<std::string>& PolicyNames() {
+  static const std::vector<std::string> names = {"module", "random", "round-robin", "least-connections",
+                                                 "p2c",    "bloc",   "jsq",         "oracle"};
+  return names;
+}
+
+std::unique_ptr<Policy> MakePolicy(const std::string& name, const Caller& caller, Micros now, Actions* out) {
+  if (name == "module") return std::make_unique<ModulePolicy>(caller.settings, caller.seed, now, out);
+  if (name == "random") return std::make_unique<RandomPick>(caller);
+  if (name == "round-robin") return std::make_unique<RoundRobin>(caller);
+  if (name == "least-connections") return std::make_unique<LeastConnections>(caller);
+  if (name == "p2c") return std::make_unique<TwoChoices>(caller);
+  if (name == "bloc") return std::make_unique<PlainBloc>(caller);
+  if (name == "jsq") return std::make_unique<ShortestQueue>(caller);
+  if (name == "oracle") return std::make_unique<Oracle>(caller);
+  throw ScenarioError("there is no policy called " + name);
+}
+
+}  // namespace umberdyke::emulator
--- a/src/lab/common/process.cpp
+++ b/src/lab/common/process.cpp
@@ -20,7 +20,7 @@
   for (const char* name : {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"})
     unsetenv(name);
   if (std::freopen(log.c_str(), "w", stderr) == nullptr) _exit(126);
-  execv(argv[0], argv.data());
+  execvp(argv[0], argv.data());
   _exit(127);
 }
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,4 +1,4 @@
-// umberdyke_lab: stand-ins, runs and measurements on loopback.
+// umberdyke_lab: stand-ins, runs and measurements on loopback, and experiments in simulated time.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "lab/coordinator/ensemble.h"
+#include "lab/experiments.h"
 #include "lab/membership/propagation.h"
 #include "lab/membership/run.h"
 
@@ -96,6 +97,7 @@
   AddCoordinator(app, &status);
   AddMembership(app, &status);
   AddPropagation(app, &status);
+  lab::AddExperiments(app, &status);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
