--- a/src/experiment/charts.cpp
+++ b/src/experiment/charts.cpp
@@ -73,8 +73,8 @@
     d.titles.push_back(name);
   }
   d.data = out.str();
-  d.settings = "set xlabel " + Quoted(chart.x) + " noenhanced\nset ylabel " + Quoted(chart.figure) + " noenhanced\n" +
-               (chart.logarithmic ? "set logscale x\n" : "");
+  d.settings = "set xlabel " + Quoted(chart.x) + " noenhanced\nset ylabel " + Quoted(chart.figure) +
+               " noenhanced\n" + (chart.logarithmic ? "set logscale x\n" : "");
   d.plot = "with yerrorlines";
   return d;
 }
@@ -135,7 +135,9 @@
     d.titles.push_back(LineName(g, chart));
   }
   d.data = out.str();
-  d.settings = "set xlabel \"s\"\nset ylabel " + Quoted(chart.figure + ", mean over the seeds") + " noenhanced\n";
+  d.settings =
+      "set xlabel \"s\"\nset ylabel " + Quoted(chart.figure + ", mean over the seeds") +
+               " noenhanced\n";
   d.plot = "using 1:2 with lines lw 1.5";
   return d;
 }
@@ -191,8 +193,7 @@
     if (d.titles.empty()) continue;  // no cell of that kind has been run yet
     std::string script = "set terminal svg size 900,480 font \"sans,12\" background \"white\"\nset output " +
                          Quoted(base + ".svg") + "\nset title " + Quoted(chart.title) +
-                         " noenhanced\nset grid\nset key outside right noenhanced\n" +
-                         d.settings + "plot ";
+                         " noenhanced\nset grid\nset key outside right noenhanced\n" + d.settings + "plot ";
     const std::string data = Quoted(base + ".dat");
     if (chart.kind == "heat") {
       script += data + " " + d.plot + " title " + Quoted(d.titles.front());
--- a/src/lab/coordinator/connection.h
+++ b/src/lab/coordinator/connection.h
@@ -94,7 +94,8 @@
       waiting_.pop_front();
       Write(std::move(bytes));
     }
-    if (!waiting_.empty()) timer_.Start(std::max<Span>(std::chrono::milliseconds(1), waiting_.front().first - Clock::now()));
+    if (!waiting_.empty())
+      timer_.Start(std::max<Span>(std::chrono::milliseconds(1), waiting_.front().first - Clock::now()));
   }
 
   Ensemble& owner_;
