Make the emulator's texts only for a trace, and its twins one; drop what nothing reads

Read once more: every request built the sentences of its trace and the tenants' weights anew though nobody asked for them; a change of the rate was written three times, the mean work, the mean number of calls, the proof that nothing ran and the conversion of seconds two or three times; members and functions without a reader stood about, among them the figure late_to_drained, which could only be 0 since such a send ends the run.

--- a/src/emulator/engine.h
+++ b/src/emulator/engine.h
@@ -6,12 +6,16 @@
 #define UMBERDYKE_EMULATOR_ENGINE_H_
 
 #include <boost/heap/d_ary_heap.hpp>
+#include <cmath>
 #include <cstdint>
 
 #include "umberdyke/balancer.h"
 
 namespace umberdyke::emulator {
 
+// Settings are in seconds.
+inline Micros Seconds(double s) { return static_cast<Micros>(std::llround(s * 1e6)); }
+
 struct Event {
   Micros at = 0;
   std::uint64_t order = 0;
@@ -27,7 +31,6 @@
 
   Micros now() const { return now_; }
   std::uint64_t done() const { return done_; }
-  std::size_t waiting() const { return heap_.size(); }
 
   // A time that has passed counts as now.
   void At(Micros at, std::uint8_t kind, std::uint32_t who, std::uint64_t what = 0, std::uint32_t aux = 0) {
--- a/src/emulator/metrics.cpp
+++ b/src/emulator/metrics.cpp
@@ -22,12 +22,6 @@
   sum_ += static_cast<double>(time);
 }
 
-void TimeHistogram::Add(const TimeHistogram& other) {
-  bins_ += other.bins_;
-  count_ += other.count_;
-  sum_ += other.sum_;
-}
-
 double TimeHistogram::Quantile(double share) const {
   if (count_ == 0) return 0;
   const double wanted = share * static_cast<double>(count_);
@@ -44,18 +38,6 @@
   return kMost;
 }
 
-double TimeHistogram::ShareAbove(double micros) const {
-  if (count_ == 0) return 0;
-  double above = static_cast<double>(bins_.at(static_cast<int>(kBins)));
-  for (int i = static_cast<int>(kBins) - 1; i >= 0; --i) {
-    const auto bin = bins_.axis().bin(i);
-    if (bin.upper() <= micros) break;
-    const double here = static_cast<double>(bins_.at(i));
-    above += bin.lower() >= micros ? here : here * (bin.upper() - micros) / (bin.upper() - bin.lower());
-  }
-  return above / static_cast<double>(count_);
-}
-
 std::vector<std::pair<double, double>> TimeHistogram::Curve(std::size_t most) const {
   std::vector<std::pair<double, double>> points;
   for (std::size_t i = 1; i < most && count_ > 0; ++i) {
@@ -114,7 +96,6 @@
   f["keyed_dropped"] = static_cast<double>(keyed_dropped);
   f["keyed_doubled"] = static_cast<double>(keyed_doubled);
   f["unsafe_doubled"] = static_cast<double>(unsafe_doubled);
-  f["late_to_drained"] = static_cast<double>(late_to_drained);
   f["imbalance"] = imbalance;
   f["imbalance_calls"] = imbalance_calls;
   f["fairness"] = fairness;
--- a/src/emulator/metrics.h
+++ b/src/emulator/metrics.h
@@ -22,13 +22,10 @@
  public:
   TimeHistogram();
   void Add(Micros time);
-  std::uint64_t count() const { return count_; }
   double Mean() const { return count_ == 0 ? 0 : sum_ / static_cast<double>(count_); }  // microseconds
   double Quantile(double share) const;                                                  // microseconds
-  double ShareAbove(double micros) const;
   // The distribution as points: time in ms, share at or below it.
   std::vector<std::pair<double, double>> Curve(std::size_t most) const;
-  void Add(const TimeHistogram& other);
 
  private:
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
@@ -44,7 +41,7 @@
 // One second of the run.
 struct Second {
   double asked = 0, gained = 0;  // worth
-  std::uint32_t requests = 0, refused = 0, attempts = 0, collapsed = 0;
+  std::uint32_t requests = 0, refused = 0, collapsed = 0;
   double in_system = 0;
 };
 
@@ -57,7 +54,7 @@
   std::array<std::uint64_t, 8> attempts{};  // of a flow at the first tier: how many took so many
   std::array<std::uint64_t, 64> lowest{};   // calls at the lowest tier for one client's request
   std::uint64_t sends = 0, checks = 0, client_retries = 0;
-  std::uint64_t keyed_dropped = 0, keyed_doubled = 0, unsafe_doubled = 0, late_to_drained = 0;
+  std::uint64_t keyed_dropped = 0, keyed_doubled = 0, unsafe_doubled = 0;
   std::uint64_t decisions = 0;
   std::vector<Second> seconds;
   // Of the first servers: mean calls present in each second.
@@ -71,7 +68,7 @@
   double little_error = 0;                                          // of the sums that have to be equal
   double mean_in_system = 0, arrival_rate = 0, mean_sojourn_s = 0;  // of the first tier
   std::uint64_t events = 0;
-  double simulated_s = 0, wall_s = 0;
+  double wall_s = 0;
 
   double Service() const { return worth_asked > 0 ? worth_gained / worth_asked : 0; }
   std::uint64_t Requests() const;
--- a/src/emulator/policy.cpp
+++ b/src/emulator/policy.cpp
@@ -82,9 +82,7 @@
       held_.erase(it);
       return;
     }
-    const bool never_ran = end.outcome == Outcome::kRejected || end.outcome == Outcome::kConnectFailed ||
-                           end.outcome == Outcome::kNotSent;
-    held.may_have_run = held.may_have_run || !never_ran;
+    held.may_have_run = held.may_have_run || !NeverRan(end.outcome);
     const bool may = !held.may_have_run ||
                      settings_.classes[static_cast<std::size_t>(held.request_class)].repeat == Repeat::kSafe;
     if (may && end.outcome != Outcome::kUnfit && held.attempts < settings_.max_attempts &&
--- a/src/emulator/policy.h
+++ b/src/emulator/policy.h
@@ -13,6 +13,11 @@
 
 namespace umberdyke::emulator {
 
+// What the ending of an attempt proves. For the model and the reference policies; the module has its own.
+inline bool NeverRan(Outcome outcome) {
+  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
+}
+
 class Policy {
  public:
   virtual ~Policy() = default;
--- a/src/emulator/pool.h
+++ b/src/emulator/pool.h
@@ -37,13 +37,13 @@
     Place& p = places_[place];
     return p.used && p.generation == name >> kBits ? &p.object : nullptr;
   }
+  const T* Find(Name name) const { return const_cast<Pool*>(this)->Find(name); }
   void Free(Name name) {
     Place& p = places_[name & kMask];
     p.used = false;
     ++p.generation;
     free_.push_back(static_cast<std::uint32_t>(name & kMask));
   }
-  std::size_t used() const { return places_.size() - free_.size(); }
   std::size_t most() const { return places_.size(); }
   // Of every object that exists.
   template <typename Do>
--- a/src/emulator/random.h
+++ b/src/emulator/random.h
@@ -31,6 +31,8 @@
   std::size_t Below(std::size_t n) {
     return boost::random::uniform_int_distribution<std::size_t>(0, n - 1)(engine_);
   }
+  // A whole number with this mean: one of the two beside it.
+  int Count(double mean) { return static_cast<int>(mean) + (Chance(mean - std::floor(mean)) ? 1 : 0); }
   double Exponential(double mean) {
     return boost::random::exponential_distribution<double>(1 / mean)(engine_);
   }
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -214,14 +214,18 @@
   return c.work == "uniform" ? (c.work_low_ms + c.work_high_ms) / 2 : c.work_ms;
 }
 
-double Scenario::Capacity(std::size_t tier) const {
+double Scenario::MeanWork() const {
   double shares = 0, work = 0;
   for (const ClassSpec& c : classes) {
     shares += c.share;
     work += c.share * MeanWork(c);
   }
+  return work / shares;
+}
+
+double Scenario::Capacity(std::size_t tier) const {
   const TierSpec& t = tiers[tier];
-  return 1000 * t.servers * t.cores / (work / shares * t.work_share);
+  return 1000 * t.servers * t.cores / (MeanWork() * t.work_share);
 }
 
 double Scenario::Rate() const { return load > 0 ? load * Capacity(0) : rate_per_s; }
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -104,6 +104,7 @@
   std::vector<Trouble> troubles;
 
   double MeanWork(const ClassSpec& c) const;  // ms
+  double MeanWork() const;                    // over the classes by their shares
   double Capacity(std::size_t tier) const;    // calls a second that a warm tier can do
   double Rate() const;                        // clients' requests a second
 };
--- a/src/emulator/server.cpp
+++ b/src/emulator/server.cpp
@@ -4,12 +4,6 @@
 #include <cmath>
 
 namespace umberdyke::emulator {
-namespace {
-
-Micros Seconds(double s) { return static_cast<Micros>(s * 1e6); }
-
-}  // namespace
-
 Server::Server(Engine& engine, Pool<Job>& jobs, Host& host, const TierSpec& spec, std::uint32_t i, int t,
                int z, double speed)
     : index(i),
@@ -47,26 +41,19 @@
   double work = 0;
   for (const auto* names : {&waiting_, &back_}) {
     for (const Name name : *names) {
-      const Job* job = const_cast<Pool<Job>&>(jobs_).Find(name);
+      const Job* job = jobs_.Find(name);
       if (job != nullptr) work += job->left;
     }
   }
   const double speed = Speed();
   for (const Name name : running_) {
-    const Job* job = const_cast<Pool<Job>&>(jobs_).Find(name);
+    const Job* job = jobs_.Find(name);
     if (job == nullptr) continue;
     work += std::max(0.0, job->left - static_cast<double>(engine_.now() - job->started) * job->speed);
   }
   return running_.size() < cores_ && waiting_.empty() ? 0 : work / speed / static_cast<double>(cores_);
 }
 
-std::vector<Name> Server::All() const {
-  std::vector<Name> all(running_);
-  all.insert(all.end(), back_.begin(), back_.end());
-  all.insert(all.end(), waiting_.begin(), waiting_.end());
-  return all;
-}
-
 bool Server::Take(Name name, Job& job) {
   const bool starts =
       running_.size() < cores_ && waiting_.empty() && back_.empty() && (slots_ == 0 || held_ < slots_);
--- a/src/emulator/server.h
+++ b/src/emulator/server.h
@@ -27,7 +27,6 @@
   std::uint32_t life = 0;  // of the server
   std::uint32_t turn = 0;  // of its events: an older one counts no more
   std::uint16_t request_class = 0;
-  std::uint16_t tenant = 0;
   std::uint8_t attempt = 0;
   State state = State::kWaiting;
   bool ran = false;
@@ -92,8 +91,6 @@
   std::size_t queue() const { return waiting_.size(); }
   // Work ahead of a call that came now, in microseconds at the present speed.
   double Backlog() const;
-  const std::vector<Name>& running() const { return running_; }
-  std::vector<Name> All() const;
   const Counts& counts() const { return counts_; }
   bool collapsed() const { return collapsed_; }
 
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -11,8 +11,6 @@
 constexpr Micros kBegin = 1'000'000;  // a start at 0 would mean long ago to the module
 constexpr std::size_t kMostHeat = 64;
 
-Micros Seconds(double s) { return static_cast<Micros>(std::llround(s * 1e6)); }
-
 Repeat RepeatOf(const ClassSpec& c) {
   return c.repeats == "safe" ? Repeat::kSafe : c.repeats == "keyed" ? Repeat::kKeyed : Repeat::kUnsafe;
 }
@@ -48,6 +46,7 @@
   double sum = 0;
   for (const ClassSpec& c : scenario_.classes) class_shares_.push_back(sum += c.share);
   tenant_factor_.assign(scenario_.tenants.size(), 1);
+  GatherTenants();
   tenant_tokens_.resize(scenario_.tenants.size());
   tenant_since_.assign(scenario_.tenants.size(), kBegin);
   for (std::size_t t = 0; t < scenario_.tenants.size(); ++t)
@@ -96,12 +95,7 @@
     tier.count += static_cast<std::uint32_t>(std::max(1.0, t.count) * std::max(0.0, blows));
   }
   Stream speeds(seed_ + static_cast<std::uint64_t>(index), "speeds");
-  double work = 0, shares = 0;
-  for (const ClassSpec& c : scenario_.classes) {
-    work += c.share * scenario_.MeanWork(c);
-    shares += c.share;
-  }
-  tier.mean_work = 1000 * work / shares * spec.work_share;
+  tier.mean_work = 1000 * scenario_.MeanWork() * spec.work_share;
   const auto zones = static_cast<std::uint32_t>(scenario_.zones);
   for (std::uint32_t i = 0; i < tier.count; ++i) {
     const double speed = 1 + spec.speed_spread * speeds.Between(-1, 1);
@@ -214,9 +208,7 @@
       engine_.At(now + static_cast<Micros>(
                            arrivals_.Exponential(bursting_ ? scenario_.burst_s : scenario_.calm_s) * 1e6),
                  kBurst, 0);
-      ++arrival_turn_;
-      next_arrival_ = static_cast<double>(now);
-      return NextArrival();
+      return RateChanged();
     case kTryAgain:
       return Try(event.what, true);
     case kGiveUp:
@@ -250,7 +242,7 @@
     case kServerUp:
       return ServerUp(event.who);
     case kServerDown:
-      return ServerDown(event.who, true);
+      return ServerDown(event.who);
     case kSidecarDown:
       engine_.At(now + static_cast<Micros>(event.what), kSidecarUp, event.who);
       return SidecarDown(event.who);
@@ -350,7 +342,6 @@
   }
   if (squares > 0) metrics_.fairness = sum * sum / (squares * static_cast<double>(sent_.size()));
   metrics_.events = engine_.done();
-  metrics_.simulated_s = scenario_.duration_s;
   metrics_.seconds.resize(static_cast<std::size_t>(scenario_.duration_s));
   *out = std::move(metrics_);
 }
@@ -389,10 +380,12 @@
   throw Violation(text.str());
 }
 
-void World::Tell(Name name, const std::string& text) const {
-  if (trace_.out == nullptr) return;
-  const Client* client = const_cast<Pool<Client>&>(requests_).Find(name);
-  if (client == nullptr || client->number != trace_.request) return;
+bool World::Traced(Name name) const {
+  const Client* client = trace_.out == nullptr ? nullptr : requests_.Find(name);
+  return client != nullptr && client->number == trace_.request;
+}
+
+void World::Write(const std::string& text) const {
   char time[32];
   std::snprintf(time, sizeof time, "%12.6f s  ", static_cast<double>(engine_.now() - begin_) / 1e6);
   *trace_.out << time << text << "\n";
@@ -407,7 +400,7 @@
   return servers_[upstream]->up && !servers_[upstream]->fails_fast;
 }
 double World::Work(RequestId request) const {
-  const Flow* flow = const_cast<Pool<Flow>&>(flows_).Find(request);
+  const Flow* flow = flows_.Find(request);
   return flow == nullptr ? 0 : flow->work;
 }
 
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -93,7 +93,6 @@
     double work = 0;  // microseconds in all
     int calls = 0;    // of the first tier's server to the next
     std::uint32_t lowest = 0;
-    Name flow = kNobody;
     // Where and when it ran, for the rule of repeats.
     struct Ran {
       int zone;
@@ -112,13 +111,13 @@
   };
   // One request at one sidecar: a try of a client's, or a call that a server makes on.
   struct Flow {
-    std::uint32_t sidecar = 0, life = 0;
+    std::uint32_t sidecar = 0;
     std::uint16_t request_class = 0, tenant = 0;
     std::uint8_t attempts = 0, open = 0;
     bool over = false;  // it has its final answer, and waits for attempts to close
     Name client = kNobody;
     Name job = kNobody;  // that made it; kNobody for a client's try
-    Micros came = 0, deadline = 0;
+    Micros deadline = 0;
     double work = 0;
     std::array<Attempt, kMostAttempts> tries;
   };
@@ -150,13 +149,21 @@
   void Finish(Metrics* out);
   [[noreturn]] void Broken(const std::string& what) const;
   std::string Say(const Event& event) const;
-  void Tell(Name client, const std::string& text) const;
+  bool Traced(Name client) const;
+  void Write(const std::string& text) const;
+  // The text is made only for the one request that is traced.
+  template <typename Text>
+  void Tell(Name client, const Text& text) const {
+    if (Traced(client)) Write(text());
+  }
   Micros Way(int from, int to);
   bool CutOff(int from, int to) const;
 
   // world_clients.cpp: arrivals, tries, finals
   double RateNow() const;
   void NextArrival();
+  void RateChanged();
+  void GatherTenants();
   void Arrive(std::uint32_t caller);
   void Try(Name name, bool again);
   void TryEnded(Name client, Final final, Micros retry_after);
@@ -200,8 +207,9 @@
   // world_troubles.cpp
   void Strike(std::size_t trouble);
   void Over(std::size_t trouble, std::size_t blow);
+  void ScaleTraffic(const Trouble& trouble, bool over);
   std::vector<std::uint32_t> Victims(const Trouble& trouble, std::uint32_t first, std::uint32_t count);
-  void ServerDown(std::uint32_t index, bool lost);
+  void ServerDown(std::uint32_t index);
   void ServerUp(std::uint32_t index);
   void SidecarDown(std::uint32_t index);
   void List(std::uint32_t server, UpstreamState state);
@@ -219,8 +227,8 @@
   std::vector<Tier> tiers_;
   std::vector<std::unique_ptr<Server>> servers_;
   std::vector<Sidecar> sidecars_;
-  std::vector<double> class_shares_, tenant_shares_;  // running sums
-  std::vector<double> tenant_factor_, tenant_rate_, tenant_tokens_;
+  std::vector<double> class_shares_, tenant_shares_;  // running sums; the tenants' with their factors
+  std::vector<double> tenant_factor_, tenant_tokens_;
   std::vector<Micros> tenant_since_;
   double jump_ = 1, late_factor_ = 1;
   bool bursting_ = false;
--- a/src/emulator/world_clients.cpp
+++ b/src/emulator/world_clients.cpp
@@ -40,19 +40,29 @@
   engine_.At(static_cast<Micros>(std::llround(next_arrival_)), kArrive, kOpenLoop, 0, arrival_turn_);
 }
 
+// The next arrival is drawn anew from now on: the one that was drawn before counts no more.
+void World::RateChanged() {
+  ++arrival_turn_;
+  next_arrival_ = static_cast<double>(engine_.now());
+  if (scenario_.arrivals != "closed") NextArrival();
+}
+
+void World::GatherTenants() {
+  tenant_shares_.clear();
+  double sum = 0;
+  for (std::size_t t = 0; t < scenario_.tenants.size(); ++t)
+    tenant_shares_.push_back(sum += scenario_.tenants[t].share * tenant_factor_[t]);
+}
+
 void World::Arrive(std::uint32_t caller) {
   if (caller == kOpenLoop - 1) return;  // the rate has changed since this one was drawn
   if (caller == kOpenLoop) NextArrival();
-  std::vector<double> weights(scenario_.tenants.size());
-  double sum = 0;
-  for (std::size_t t = 0; t < weights.size(); ++t)
-    weights[t] = sum += scenario_.tenants[t].share * tenant_factor_[t];
   const Name name = requests_.Make();
   Client& c = *requests_.Find(name);
   c.number = ++numbers_;
   c.caller = caller;
   c.request_class = static_cast<std::uint16_t>(Draw(arrivals_, class_shares_));
-  c.tenant = static_cast<std::uint16_t>(Draw(arrivals_, weights));
+  c.tenant = static_cast<std::uint16_t>(Draw(arrivals_, tenant_shares_));
   c.zone = static_cast<std::uint16_t>(arrivals_.Below(front_.size()));
   c.patience = arrivals_.Between(scenario_.client_patience, 1);
   c.tries_left = static_cast<std::uint8_t>(scenario_.client_retries);
@@ -71,8 +81,7 @@
     work = work_.Lognormal(spec.work_ms, spec.work_cv);
   }
   c.work = 1000 * work;
-  const double calls = scenario_.tiers[0].calls;
-  c.calls = static_cast<int>(calls) + (work_.Chance(calls - std::floor(calls)) ? 1 : 0);
+  c.calls = work_.Count(scenario_.tiers[0].calls);
   const double allowance = scenario_.tenants[c.tenant].allowance_per_s;
   if (allowance > 0) {
     double& tokens = tenant_tokens_[c.tenant];
@@ -82,8 +91,10 @@
     c.over_share = tokens < 1;
     if (!c.over_share) tokens -= 1;
   }
-  Tell(name, "comes: class " + spec.name + ", tenant " + scenario_.tenants[c.tenant].name + ", zone " +
-                 std::to_string(c.zone) + ", " + std::to_string(c.work / 1000) + " ms of work");
+  Tell(name, [&] {
+    return "comes: class " + spec.name + ", tenant " + scenario_.tenants[c.tenant].name + ", zone " +
+           std::to_string(c.zone) + ", " + std::to_string(c.work / 1000) + " ms of work";
+  });
   Try(name, false);
 }
 
@@ -95,7 +106,7 @@
   const std::vector<std::uint32_t>* zone = &front_[c->zone];
   std::size_t z = c->zone;
   while (zone->empty()) zone = &front_[++z % front_.size()];
-  const auto blind = static_cast<Micros>(scenario_.front_blind_s * 1e6);
+  const auto blind = Seconds(scenario_.front_blind_s);
   std::size_t at = clients_.Below(zone->size());
   for (std::size_t i = 0; i < zone->size(); ++i, ++at) {
     const Sidecar& s = sidecars_[(*zone)[at % zone->size()]];
@@ -104,19 +115,18 @@
   const std::uint32_t chosen = (*zone)[at % zone->size()];
   if (again) ++metrics_.client_retries;
   if (!sidecars_[chosen].up) {
-    Tell(name, "finds sidecar " + std::to_string(chosen) + " dead");
+    Tell(name, [&] { return "finds sidecar " + std::to_string(chosen) + " dead"; });
     return TryEnded(name, Final::kLost, 0);
   }
   const ClassSpec& spec = scenario_.classes[c->request_class];
   const Micros deadline = now + static_cast<Micros>(spec.give_up_ms * 1000 * c->patience);
-  Tell(name, "asks sidecar " + std::to_string(chosen));
+  Tell(name, [&] { return "asks sidecar " + std::to_string(chosen); });
   Open(chosen, name, kNobody, deadline, c->work * scenario_.tiers[0].work_share, again);
 }
 
 void World::TryEnded(Name name, Final final, Micros retry_after) {
   Client* c = requests_.Find(name);
   if (c == nullptr || c->over) Broken("a client's request has a second end");
-  c->flow = kNobody;
   const Micros now = engine_.now();
   if (final == Final::kInTime) {
     const ClassSpec& spec = scenario_.classes[c->request_class];
@@ -127,15 +137,19 @@
   --c->tries_left;
   Micros wait = static_cast<Micros>(scenario_.client_wait_ms * 1000 * clients_.Between(0.5, 1.5));
   if (retry_after > 0 && scenario_.retry_after_s > 0) wait = std::max(wait, retry_after);
-  Tell(name, std::string(FinalName(final)) + "; tries again in " + std::to_string(wait / 1000) + " ms");
+  Tell(name, [&] {
+    return std::string(FinalName(final)) + "; tries again in " + std::to_string(wait / 1000) + " ms";
+  });
   engine_.At(now + wait, kTryAgain, 0, name);
 }
 
 void World::Conclude(Name name, Client& c, Final final) {
   c.over = true;
   ++concluded_;
-  Tell(name, std::string("the end: ") + FinalName(final) + " after " +
-                 std::to_string((engine_.now() - c.came) / 1000) + " ms");
+  Tell(name, [&] {
+    return std::string("the end: ") + FinalName(final) + " after " +
+           std::to_string((engine_.now() - c.came) / 1000) + " ms";
+  });
   Seen(c, final);
   if (c.caller < kOpenLoop - 1) {
     const double think = scenario_.think_ms > 0 ? arrivals_.Exponential(scenario_.think_ms) * 1000 : 0;
--- a/src/emulator/world_flows.cpp
+++ b/src/emulator/world_flows.cpp
@@ -8,10 +8,6 @@
 namespace umberdyke::emulator {
 namespace {
 
-bool NeverRan(Outcome outcome) {
-  return outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
-}
-
 const char* OutcomeName(Outcome outcome) {
   switch (outcome) {
     case Outcome::kOk:
@@ -40,19 +36,13 @@
   Flow& flow = *flows_.Find(name);
   const Client& c = *requests_.Find(client);
   flow.sidecar = sidecar;
-  flow.life = sidecars_[sidecar].life;
   flow.request_class = c.request_class;
   flow.tenant = c.tenant;
   flow.client = client;
   flow.job = job;
-  flow.came = engine_.now();
   flow.deadline = deadline;
   flow.work = work;
-  if (job == kNobody) {
-    requests_.Find(client)->flow = name;
-  } else {
-    jobs_.Find(job)->call = name;
-  }
+  if (job != kNobody) jobs_.Find(job)->call = name;
   engine_.At(deadline, kGiveUp, 0, name);
   Request request;
   request.id = name;
@@ -116,8 +106,7 @@
   }
   if (first != nullptr && spec.repeats == "never") Broken("repeats a request that may have run and must not");
   if (first != nullptr && spec.repeats == "keyed") {
-    if (now - first->sent > static_cast<Micros>(spec.window_s * 1e6))
-      Broken("repeats a keyed request outside its window");
+    if (now - first->sent > Seconds(spec.window_s)) Broken("repeats a keyed request outside its window");
     if (spec.group == "zone" && servers_[first->server]->zone != server.zone)
       Broken("repeats a keyed request at a server that does not know its key");
   }
@@ -139,12 +128,11 @@
     ++sent_[send.upstream];
     ++sent_in_2s_[send.upstream];
   }
-  if (trace_.out != nullptr) {
-    Tell(flow->client, std::string(static_cast<std::size_t>(2 * s.tier + 2), ' ') + "sidecar " +
-                           std::to_string(sidecar) + " sends to server " + std::to_string(send.upstream) +
-                           ", attempt " + std::to_string(attempt + 1) + ", " +
-                           std::to_string(server.in_system()) + " there");
-  }
+  Tell(flow->client, [&] {
+    return std::string(static_cast<std::size_t>(2 * s.tier + 2), ' ') + "sidecar " + std::to_string(sidecar) +
+           " sends to server " + std::to_string(send.upstream) + ", attempt " + std::to_string(attempt + 1) +
+           ", " + std::to_string(server.in_system()) + " there";
+  });
   if (CutOff(s.zone, server.zone)) {
     engine_.At(now + static_cast<Micros>(scenario_.connect_timeout_ms * 1000), kEnd,
                static_cast<std::uint32_t>(Outcome::kConnectFailed), send.request, attempt);
@@ -193,7 +181,8 @@
 void World::GaveUp(Name name) {
   Flow* flow = flows_.Find(name);
   if (flow == nullptr || flow->over) return;
-  Tell(flow->client, flow->job == kNobody ? "the client gives up" : "    the calling server gives up");
+  Tell(flow->client,
+       [&] { return flow->job == kNobody ? "the client gives up" : "    the calling server gives up"; });
   flow->over = true;
   With(flow->sidecar, [&](Policy& p, Actions* out) { p.OnClientGone(engine_.now(), name, out); });
   flow = flows_.Find(name);
@@ -216,11 +205,11 @@
     // The connection closes; the server sees it a way later.
     if (t.job != kNobody) engine_.At(engine_.now() + Way(s.zone, servers_[t.server]->zone), kLate, 0, t.job);
   }
-  if (trace_.out != nullptr) {
-    Tell(flow->client, std::string(static_cast<std::size_t>(2 * s.tier + 2), ' ') + "attempt " +
-                           std::to_string(attempt + 1) + " at server " + std::to_string(t.server) + ": " +
-                           OutcomeName(outcome));
-  }
+  Tell(flow->client, [&] {
+    return std::string(static_cast<std::size_t>(2 * s.tier + 2), ' ') + "attempt " +
+           std::to_string(attempt + 1) + " at server " + std::to_string(t.server) + ": " +
+           OutcomeName(outcome);
+  });
   AttemptEnd end;
   end.request = name;
   end.attempt = static_cast<int>(attempt);
@@ -258,13 +247,12 @@
   job.server = index;
   job.life = server.life;
   job.request_class = flow->request_class;
-  job.tenant = flow->tenant;
   job.attempt = static_cast<std::uint8_t>(attempt);
   job.deadline = flow->deadline;
   if (server.tier == 0) {
     job.calls_left = requests_.Find(flow->client)->calls;
-  } else if (const double calls = scenario_.tiers[static_cast<std::size_t>(server.tier)].calls; calls > 0) {
-    job.calls_left = static_cast<int>(calls) + (network_.Chance(calls - std::floor(calls)) ? 1 : 0);
+  } else {
+    job.calls_left = network_.Count(scenario_.tiers[static_cast<std::size_t>(server.tier)].calls);
   }
   job.piece = flow->work / (job.calls_left + 1);
   flow->tries[attempt].job = job_name;
@@ -278,9 +266,8 @@
     return SendAnswer(job_name, job, Outcome::kRejected);
   }
   if (!falls) return;
-  ServerDown(index, true);
-  engine_.At(engine_.now() +
-                 static_cast<Micros>(scenario_.tiers[static_cast<std::size_t>(server.tier)].fall_s * 1e6),
+  ServerDown(index);
+  engine_.At(engine_.now() + Seconds(scenario_.tiers[static_cast<std::size_t>(server.tier)].fall_s),
              kServerUp, index);
 }
 
@@ -295,7 +282,7 @@
   if (spec.repeats == "keyed") {
     for (const Client::Ran& ran : c->ran) {
       const bool knows = spec.group == "all" || ran.zone == server.zone;
-      if (!knows || engine_.now() - ran.first >= static_cast<Micros>(spec.window_s * 1e6)) continue;
+      if (!knows || engine_.now() - ran.first >= Seconds(spec.window_s)) continue;
       ++metrics_.keyed_dropped;
       job.left = std::min(job.left, 1000.0);
       job.calls_left = 0;
--- a/src/emulator/world_troubles.cpp
+++ b/src/emulator/world_troubles.cpp
@@ -6,11 +6,6 @@
 #include "emulator/world.h"
 
 namespace umberdyke::emulator {
-namespace {
-
-Micros Seconds(double s) { return static_cast<Micros>(std::llround(s * 1e6)); }
-
-}  // namespace
 
 // Drawn from a stream of its own and from all of them, whatever the policy did before: every policy meets the
 // same blow.
@@ -35,13 +30,7 @@
     engine_.At(now + Seconds(after_s), kTroubleOver, static_cast<std::uint32_t>(index), blow);
   };
   if (t.kind == "jump" || t.kind == "flood") {
-    if (t.kind == "jump") jump_ *= t.factor;
-    for (std::size_t i = 0; i < tenant_factor_.size(); ++i) {
-      if (t.kind == "flood" && scenario_.tenants[i].name == t.tenant) tenant_factor_[i] *= t.factor;
-    }
-    ++arrival_turn_;
-    next_arrival_ = static_cast<double>(now);
-    if (scenario_.arrivals != "closed") NextArrival();
+    ScaleTraffic(t, false);
     return over(t.for_s);
   }
   if (t.kind == "list-late") {
@@ -81,7 +70,7 @@
     } else if (t.kind == "fail-fast") {
       server.fails_fast = true;
     } else if (t.kind == "crash") {
-      ServerDown(v, true);
+      ServerDown(v);
       engine_.At(now + Seconds(t.for_s), kServerUp, v);
       continue;
     } else if (t.kind == "drain") {
@@ -96,16 +85,20 @@
   if (t.kind == "slow" || t.kind == "fail-fast") over(t.for_s);
 }
 
+void World::ScaleTraffic(const Trouble& t, bool over) {
+  const auto scale = [&](double* rate) { *rate = over ? *rate / t.factor : *rate * t.factor; };
+  if (t.kind == "jump") scale(&jump_);
+  for (std::size_t i = 0; i < tenant_factor_.size(); ++i) {
+    if (t.kind == "flood" && scenario_.tenants[i].name == t.tenant) scale(&tenant_factor_[i]);
+  }
+  GatherTenants();
+  RateChanged();
+}
+
 void World::Over(std::size_t index, std::size_t blow) {
   const Trouble& t = scenario_.troubles[index];
   if (t.kind == "jump" || t.kind == "flood") {
-    if (t.kind == "jump") jump_ /= t.factor;
-    for (std::size_t i = 0; i < tenant_factor_.size(); ++i) {
-      if (t.kind == "flood" && scenario_.tenants[i].name == t.tenant) tenant_factor_[i] /= t.factor;
-    }
-    ++arrival_turn_;
-    next_arrival_ = static_cast<double>(engine_.now());
-    if (scenario_.arrivals != "closed") NextArrival();
+    ScaleTraffic(t, true);
   } else if (t.kind == "list-late") {
     late_factor_ /= t.factor;
   } else if (t.kind == "partition") {
@@ -134,7 +127,7 @@
   }
 }
 
-void World::ServerDown(std::uint32_t index, bool lost) {
+void World::ServerDown(std::uint32_t index) {
   Server& server = *servers_[index];
   if (!server.up) return;
   for (const Name name : server.Stop()) {
@@ -143,7 +136,7 @@
       jobs_.Find(name)->call = kNobody;  // it is not there any more to hear
       GaveUp(job.call);
     }
-    if (const Flow* flow = flows_.Find(job.flow); flow != nullptr && lost) {
+    if (const Flow* flow = flows_.Find(job.flow); flow != nullptr) {
       const int zone = sidecars_[flow->sidecar].zone;
       if (!CutOff(server.zone, zone))
         engine_.At(engine_.now() + Way(server.zone, zone), kEnd, static_cast<std::uint32_t>(Outcome::kReset),
