Use one reader, one forgetting of a session and one fit of points in place of twins

Read once more: the membership run had a second HTTP reader beside its clients' own; the coordination client wrote out the end of a session twice; the resident memory was read in two places, one with a page size of its own; whether a point fits was asked in charts and tables; a kept cell was parsed twice, with its size limit in two files; and a run read its experiment again only to throw it away.

--- a/src/experiment/charts.cpp
+++ b/src/experiment/charts.cpp
@@ -28,12 +28,6 @@
   return out + "\"";
 }
 
-bool Fits(const Point& at, const Point& wanted) {
-  return std::all_of(wanted.begin(), wanted.end(), [&](const auto& item) {
-    return at.contains(item.first) && at.at(item.first) == item.second;
-  });
-}
-
 // What tells lines of one chart apart: the variant, and every swept figure that is not the x axis and not
 // set.
 std::string LineName(const Group& g, const Chart& chart) {
@@ -136,8 +130,7 @@
   }
   d.data = out.str();
   d.settings =
-      "set xlabel \"s\"\nset ylabel " + Quoted(chart.figure + ", mean over the seeds") +
-               " noenhanced\n";
+      "set xlabel \"s\"\nset ylabel " + Quoted(chart.figure + ", mean over the seeds") + " noenhanced\n";
   d.plot = "using 1:2 with lines lw 1.5";
   return d;
 }
--- a/src/experiment/plan.cpp
+++ b/src/experiment/plan.cpp
@@ -362,6 +362,13 @@
   return plan;
 }
 
+bool Fits(const Point& at, const Point& wanted) {
+  return std::all_of(wanted.begin(), wanted.end(), [&](const auto& item) {
+    const auto it = at.find(item.first);
+    return it != at.end() && it->second == item.second;
+  });
+}
+
 std::string PrintPoint(const Point& point) {
   std::string text;
   for (const auto& [name, value] : point) {
--- a/src/experiment/plan.h
+++ b/src/experiment/plan.h
@@ -64,6 +64,8 @@
 Plan ReadPlan(const std::string& path);
 
 std::string PrintPoint(const Point& point);
+// Whether `at` has every figure of `wanted` at its value.
+bool Fits(const Point& at, const Point& wanted);
 
 }  // namespace umberdyke::experiment
 
--- a/src/experiment/results.cpp
+++ b/src/experiment/results.cpp
@@ -40,6 +40,38 @@
     Spell(objects[i], name + std::to_string(i + 1) + ".", text);
 }
 
+// None where it is no whole cell, or has another key; an empty key stands for any.
+std::optional<Cell> Parse(const std::string& text, const std::string& key) {
+  const json j = json::parse(text, nullptr, false);
+  if (!j.is_object() || j.value("format", 0) != kFormat) return std::nullopt;
+  if (!key.empty() && j.value("key", "") != key) return std::nullopt;
+  try {
+    Cell cell;
+    cell.variant = j.at("variant");
+    cell.policy = j.at("policy");
+    cell.at = j.at("at").get<Point>();
+    cell.seed = j.at("seed");
+    cell.figures = j.at("figures").get<std::map<std::string, double>>();
+    cell.curve = j.at("curve").get<std::vector<std::pair<double, double>>>();
+    cell.violation = j.value("violation", "");
+    cell.wall_s = j.at("wall_s");
+    for (const json& s : j.at("seconds")) {
+      emulator::Second second;
+      second.asked = s.at(0);
+      second.gained = s.at(1);
+      second.requests = s.at(2);
+      second.refused = s.at(3);
+      second.collapsed = s.at(4);
+      second.in_system = s.at(5);
+      cell.seconds.push_back(second);
+    }
+    if (j.contains("heat")) cell.heat = j.at("heat").get<std::vector<std::vector<float>>>();
+    return cell;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 std::string KeyOf(const Plan& plan, const Variant& variant, const Point& at, std::uint64_t seed) {
@@ -85,40 +117,9 @@
   return j.dump() + "\n";
 }
 
-std::optional<Cell> ParseAny(const std::string& text) {
-  const json j = json::parse(text, nullptr, false);
-  if (!j.is_object() || j.value("format", 0) != kFormat) return std::nullopt;
-  try {
-    Cell cell;
-    cell.variant = j.at("variant");
-    cell.policy = j.at("policy");
-    cell.at = j.at("at").get<Point>();
-    cell.seed = j.at("seed");
-    cell.figures = j.at("figures").get<std::map<std::string, double>>();
-    cell.curve = j.at("curve").get<std::vector<std::pair<double, double>>>();
-    cell.violation = j.value("violation", "");
-    cell.wall_s = j.at("wall_s");
-    for (const json& s : j.at("seconds")) {
-      emulator::Second second;
-      second.asked = s.at(0);
-      second.gained = s.at(1);
-      second.requests = s.at(2);
-      second.refused = s.at(3);
-      second.collapsed = s.at(4);
-      second.in_system = s.at(5);
-      cell.seconds.push_back(second);
-    }
-    if (j.contains("heat")) cell.heat = j.at("heat").get<std::vector<std::vector<float>>>();
-    return cell;
-  } catch (const json::exception&) {
-    return std::nullopt;
-  }
-}
-
-std::optional<Cell> Parse(const std::string& text, const std::string& key) {
-  const json j = json::parse(text, nullptr, false);
-  if (!j.is_object() || j.value("key", "") != key) return std::nullopt;
-  return ParseAny(text);
+std::optional<Cell> ReadCell(const std::string& path, const std::string& key) {
+  const files::ReadResult read = files::ReadWhole(path, kLargestCell);
+  return read.error.empty() ? Parse(read.text, key) : std::nullopt;
 }
 
 std::vector<Cell> ReadCells(const std::string& folder) {
@@ -130,7 +131,7 @@
     if (!name.ends_with(".json")) continue;
     const files::ReadResult read = files::ReadWhole(folder + "/cells/" + name, kLargestCell);
     if (!read.error.empty()) throw emulator::ScenarioError(folder + "/cells/" + name + ": " + read.error);
-    auto cell = ParseAny(read.text);
+    auto cell = Parse(read.text, "");
     if (!cell)
       throw emulator::ScenarioError(folder + "/cells/" + name + " is no cell of this program's format");
     cells.push_back(std::move(*cell));
--- a/src/experiment/results.h
+++ b/src/experiment/results.h
@@ -30,10 +30,8 @@
 std::string NameOf(const Variant& variant, const std::string& key);
 
 std::string Print(const Cell& cell, const std::string& key);
-// None where the text is no whole cell with this key.
-std::optional<Cell> Parse(const std::string& text, const std::string& key);
-// Whatever its key.
-std::optional<Cell> ParseAny(const std::string& text);
+// None where the file is not there, or holds no whole cell with this key.
+std::optional<Cell> ReadCell(const std::string& path, const std::string& key);
 
 // All cells of a folder, in the order of variant, point and seed. Throws ScenarioError.
 std::vector<Cell> ReadCells(const std::string& folder);
--- a/src/experiment/runner.cpp
+++ b/src/experiment/runner.cpp
@@ -15,7 +15,6 @@
 
 using Wall = std::chrono::steady_clock;
 constexpr std::size_t kCurvePoints = 200;
-constexpr std::size_t kLargestCell = 16 << 20;
 
 struct Task {
   std::size_t variant = 0, point = 0;
@@ -126,8 +125,7 @@
       const std::string key = KeyOf(plan, variant, at, task.seed);
       const std::string path = folder + "/" + NameOf(variant, key);
       if (!folder.empty()) {
-        const files::ReadResult read = files::ReadWhole(path, kLargestCell);
-        if (auto cell = read.error.empty() ? Parse(read.text, key) : std::nullopt) {
+        if (auto cell = ReadCell(path, key)) {
           const std::lock_guard<std::mutex> lock(mutex);
           cells[i] = std::move(*cell);
           ++result.kept;
--- a/src/experiment/tables.cpp
+++ b/src/experiment/tables.cpp
@@ -76,11 +76,7 @@
   std::vector<Judged> judged;
   for (const Expectation& e : plan.expectations) {
     for (const Group& g : groups) {
-      const bool fits =
-          g.variant == e.variant && std::all_of(e.at.begin(), e.at.end(), [&](const auto& item) {
-            return g.at.contains(item.first) && g.at.at(item.first) == item.second;
-          });
-      if (!fits) continue;
+      if (g.variant != e.variant || !Fits(g.at, e.at)) continue;
       Judged j;
       j.expectation = e;
       j.at = g.at;
--- a/src/lab/common/process.cpp
+++ b/src/lab/common/process.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 
 namespace umberdyke::lab {
 
@@ -42,6 +43,13 @@
   return ended_;
 }
 
+double ResidentMb() {
+  std::ifstream file("/proc/self/statm");
+  double size = 0, resident = 0;
+  file >> size >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
 std::string OwnAddress() {
   const pid_t pid = getpid();
   return "127." + std::to_string(77 + pid / 62500 % 100) + "." + std::to_string(pid / 250 % 250) + "." +
--- a/src/lab/common/process.h
+++ b/src/lab/common/process.h
@@ -32,6 +32,9 @@
   std::optional<int> ended_;
 };
 
+// What this process holds in memory now, in millions of bytes.
+double ResidentMb();
+
 // An address of 127/8 that is this process's own: a port that it finds free there stays free, since others'
 // outgoing connections leave from 127.0.0.1.
 std::string OwnAddress();
--- a/src/lab/experiments.cpp
+++ b/src/lab/experiments.cpp
@@ -1,13 +1,11 @@
 #include "lab/experiments.h"
 
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <iostream>
 #include <sstream>
 
@@ -15,6 +13,7 @@
 #include "experiment/report.h"
 #include "experiment/runner.h"
 #include "files/files.h"
+#include "lab/common/process.h"
 
 namespace umberdyke::lab {
 namespace {
@@ -70,10 +69,8 @@
     return 2;
   }
   if (!folder.empty()) {
-    // The plan goes along, so that the folder can be reported on by itself.
-    const files::ReadResult text = files::ReadWhole(file, 1 << 20);
-    std::string error = text.error;
-    if (error.empty()) error = files::WriteWhole(folder + "/experiment.path", file + "\n");
+    // Where the plan is, so that the folder can be reported on by itself.
+    std::string error = files::WriteWhole(folder + "/experiment.path", file + "\n");
     if (error.empty() && !result.cells.empty()) error = experiment::WriteReport(plan, result.cells, folder);
     if (!error.empty()) {
       std::cerr << "umberdyke_lab: " << error << "\n";
@@ -189,13 +186,6 @@
   });
 }
 
-double ResidentMb() {
-  std::ifstream statm("/proc/self/statm");
-  double size = 0, resident = 0;
-  statm >> size >> resident;
-  return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
 void AddScale(CLI::App& app, int* status) {
   static std::string file, policy = "module";
   static std::vector<double> servers = {10, 100, 1000};
--- a/src/lab/membership/caller.h
+++ b/src/lab/membership/caller.h
@@ -14,7 +14,7 @@
 // One connection of the clients: a request at a time.
 class Caller : public net::StreamUser {
  public:
-  using Done = std::function<void(Caller&, int status)>;  // 0: the connection ended without an answer
+  using Done = std::function<void(const net::Message& answer)>;  // status 0: it ended without an answer
   Caller(net::Loop& loop, const net::Address& to) : stream(loop, this) { broken_ = !stream.Connect(to); }
   void Ask(const std::string& request, Done done) {
     done_ = std::move(done);
@@ -41,13 +41,13 @@
       const net::Message answer = parser_.Take();
       const std::string* connection = answer.Find("Connection");
       if (connection != nullptr && *connection == "close") broken_ = true;
-      Finish(answer.status);
+      Finish(answer);
     }
   }
   void OnEnd() override {
     broken_ = true;
     stream.Close();
-    if (asking) Finish(0);
+    if (asking) Finish({});
   }
   void OnWritten(bool ok) override {
     if (!ok) OnEnd();
@@ -58,14 +58,14 @@
   net::Stream stream;
 
  private:
-  void Finish(int status) {
+  void Finish(const net::Message& answer) {
     if (!asking) {
       ++extra;
       return;
     }
     asking = false;
     const Done done = std::exchange(done_, nullptr);
-    done(*this, status);
+    done(answer);
   }
   net::HttpParser parser_{net::HttpParser::Kind::kResponse};
   Done done_;
--- a/src/lab/membership/propagation.cpp
+++ b/src/lab/membership/propagation.cpp
@@ -3,11 +3,11 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <fstream>
 #include <unordered_map>
 #include <vector>
 
 #include "config/config.h"
+#include "lab/common/process.h"
 #include "lab/coordinator/ensemble.h"
 #include "membership/nodes_source.h"
 
@@ -29,13 +29,6 @@
   return micros(usage.ru_utime) + micros(usage.ru_stime);
 }
 
-double ResidentMb() {
-  std::ifstream file("/proc/self/statm");
-  double size = 0, resident = 0;
-  file >> size >> resident;
-  return resident * 4096 / 1e6;
-}
-
 double At(std::vector<double> all, double share) {
   if (all.empty()) return 0;
   std::sort(all.begin(), all.end());
--- a/src/lab/membership/run.cpp
+++ b/src/lab/membership/run.cpp
@@ -38,6 +38,8 @@
   return net::PrintAddress(probe.address());
 }
 
+std::string PageRequest(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: s\r\n\r\n"; }
+
 class Runner {
  public:
   explicit Runner(const MembershipRun& run)
@@ -139,32 +141,12 @@
 
   // A page of the sidecar's own, asked for beside the load.
   int Page(const std::string& path, std::string* body) {
-    struct Reader : net::StreamUser {
-      explicit Reader(net::Loop& loop) : stream(loop, this) {}
-      void OnConnected(bool ok) override {
-        if (!ok) return OnEnd();
-        stream.Read();
-        stream.Write(request);
-      }
-      void OnData(std::string_view bytes) override {
-        size_t used = 0;
-        if (parser.Feed(bytes, &used) != net::Parsed::kComplete) return;
-        answer = parser.Take();
-        done = true;
-      }
-      void OnEnd() override { done = true; }
-      std::string request;
-      net::HttpParser parser{net::HttpParser::Kind::kResponse};
-      net::Message answer;
-      bool done = false;
-      net::Stream stream;
-    };
-    Reader reader(loop_);
-    reader.request = "GET " + path + " HTTP/1.1\r\nHost: s\r\n\r\n";
-    if (!reader.stream.Connect(address_)) return 0;
-    loop_.RunUntil([&] { return reader.done; }, 500ms);
-    if (body != nullptr) *body = reader.answer.body;
-    return reader.answer.status;
+    net::Message answer;
+    Caller caller(loop_, address_);
+    caller.Ask(PageRequest(path), [&](const net::Message& a) { answer = a; });
+    loop_.RunUntil([&] { return !caller.asking; }, 500ms);
+    if (body != nullptr) *body = answer.body;
+    return answer.status;
   }
 
   void ReadCounters() {
@@ -219,7 +201,8 @@
   }
 
   void Ask(const std::shared_ptr<Call>& call) {
-    FreeCaller().Ask(call->request, [this, call](Caller&, int status) { Answered(call, status); });
+    FreeCaller().Ask(call->request,
+                     [this, call](const net::Message& answer) { Answered(call, answer.status); });
   }
 
   void Answered(const std::shared_ptr<Call>& call, int status) {
@@ -271,8 +254,8 @@
       StartSidecar();
       started_again_ = true;
     }
-    FreeCaller().Ask("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n", [this](Caller&, int status) {
-      if (status != 200) return wait_.Start(25ms);
+    FreeCaller().Ask(PageRequest("/-/ready"), [this](const net::Message& answer) {
+      if (answer.status != 200) return wait_.Start(25ms);
       restarting_ = started_again_ = false;
       back_ = Clock::now();
     });
--- a/src/zookeeper/node_client.cpp
+++ b/src/zookeeper/node_client.cpp
@@ -90,6 +90,11 @@
 }
 
 void NodeClient::Abandon() {
+  ForgetSession();
+  EndCalls(kClosing);
+}
+
+void NodeClient::ForgetSession() {
   state_ = State::kStopped;
   timer_.Stop();
   Drop();
@@ -97,7 +102,6 @@
   password_.clear();
   data_watches_.clear();
   child_watches_.clear();
-  EndCalls(kClosing);
 }
 
 void NodeClient::Renew() {
@@ -212,13 +216,7 @@
   std::string password = in.Text();
   if (!in.ok()) return Lost();
   if (session == 0 || timeout <= 0) {
-    state_ = State::kStopped;
-    timer_.Stop();
-    Drop();
-    session_ = 0;
-    password_.clear();
-    data_watches_.clear();
-    child_watches_.clear();
+    ForgetSession();
     return owner_.session(Session::kExpired);
   }
   session_ = session;
--- a/src/zookeeper/node_client.h
+++ b/src/zookeeper/node_client.h
@@ -106,6 +106,7 @@
 
   void Connect();
   void Drop();
+  void ForgetSession();
   void Lost();
   void TakeHandshake(jute::Reader& in);
   void TakeReply(jute::Reader& in);
