Send a cold server twice its least share of what warm ones took before the jam

At 11 to 13 s the six report up to 43 requests in flight and four of them choke; the ten new ones report 1.0 on the mean and get 26 sends each in 9 s. From 13 s on 75 to 95 of 100 requests are refused at admission, for 10 s.

Checked and ruled out: the ledger tier (56 servers, 1.5 in flight on the mean, no refusals, its time-outs are calls cut at the aim); list calls (no more than two a sidecar at the release); probes (none are sent at these prices); connects refused by full servers (none).

At fault: Balancer::Impl::DrawColdSends cut the budget to the least share a cold server can have (0.13 at the start, warm in 22 s), though the rule allows four times what it can do; Housekeeping measured what a warm one takes over 8 s, so that the jam that followed took away the cold servers' budget too.

Now the rate is the most that warm ones took, forgotten within a minute or so, and the budget is twice the least share, or half the multiple that the rule allows if that is less.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -87,7 +87,9 @@
 constexpr Micros kHeldPace = 20'000;  // how often held requests look for a server
 constexpr double kWaitShare = 0.45;   // and for how much of their time: from half on an unsent one costs more
 constexpr Micros kFirstAskDelay = 500'000;
-constexpr double kRateTime = 8e6;  // memory of the rate that warm upstreams take
+constexpr double kRateTime = 8e6;   // memory of the rate that warm upstreams take
+constexpr double kRateFall = 60e6;  // and how long it lasts when they take less: a jam is no measure of them
+constexpr double kColdShare = 2;    // a cold one is sent this multiple of its least share of that rate
 
 }  // namespace
 
@@ -553,13 +555,14 @@
 
   // Sends that a cold upstream may get from here in the next span, drawn anew for each: what lapses unused is
   // gone, else hundreds of instances would save up and spend in the same second. On the mean it is the own
-  // rate to a warm one, cut to the share that is warm and so that two spans' worth stays well under the rule.
-  // Where nothing is known of peers, all instances together send one for each span.
+  // rate to a warm one before any jam, cut to the share that is surely warm, twice over where the rule leaves
+  // room: servers warm faster than they must, and what the cold are not sent the few warm ones get on top
+  // until they choke. Where nothing is known of peers, all instances together send one for each span.
   void DrawColdSends(Upstream& up) {
     if (!IsCold(up) || now_ < up.cold_until) return;
     const double span = static_cast<double>(ColdSpan());
     const double rate = std::max(warm_rate_, 1 / (span * settings_.balancers));
-    const double share = WarmShare(up) * std::min(1.0, settings_.fall_multiple / 4);
+    const double share = WarmShare(up) * std::min(kColdShare, settings_.fall_multiple / 2);
     up.cold_sends = static_cast<int>(rate * span * share + random_.Unit());
     up.cold_until = now_ + ColdSpan();
     if (up.cold_sends > 0) Hold(up);
@@ -999,7 +1002,8 @@
     int warm = 0;
     for (const int u : ready_) warm += IsCold(upstreams_[u]) || now_ < upstreams_[u].ejected_until ? 0 : 1;
     const double keep = std::exp(-elapsed / kRateTime);
-    if (warm > 0) warm_rate_ = keep * warm_rate_ + (1 - keep) * served_ / elapsed / warm;
+    if (warm > 0) present_rate_ = keep * present_rate_ + (1 - keep) * served_ / elapsed / warm;
+    warm_rate_ = std::max(present_rate_, warm_rate_ * std::exp(-elapsed / kRateFall));
     recent_sends_ = keep * recent_sends_ + sends_;
     sends_time_ = keep * sends_time_ + elapsed;
     own_rate_ = recent_sends_ / sends_time_;
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -142,7 +142,8 @@
   double slack_ = 0;     // and some more, for chance
   double limit_ = 0;     // most requests in hand; 0: no limit
   double mean_count_ = 0;
-  double warm_rate_ = 0;     // served by one warm upstream for this instance, a microsecond
+  double present_rate_ = 0;  // served by one warm upstream for this instance lately, a microsecond
+  double warm_rate_ = 0;     // the most of that in the last minute or so
   double recent_sends_ = 0;  // fading sums: their ratio is the rate of own sends
   double sends_time_ = 0;
   double own_rate_ = 0;  // own sends, a microsecond
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -676,6 +676,35 @@
   }
 }
 
+// A release under load: what a cold server is not sent, the few warm ones get on top until they choke.
+TEST(ColdTest, GetsTwiceItsLeastShareWhereTheRuleLeavesRoom) {
+  constexpr int kInstances = 4, kWarm = 6, kPerSecond = 60;
+  Settings s = BasicSettings();
+  s.balancers = kInstances;
+  s.fall_multiple = 4;
+  std::vector<Driver> drivers = Fleet(s, kWarm);
+  RequestId next = 1;
+  const auto run = [&](Micros time, int per_second, double count) {
+    for (Micros t = 0; t < time; t += kSecond / per_second) {
+      for (Driver& d : drivers) {
+        d.Arrive(next++, 2 * kSecond);
+        d.Advance(kSecond / per_second);
+        EndDue(
+            &d, [](UpstreamId) { return Outcome::kOk; },
+            [&](UpstreamId u) { return u <= kWarm ? count : 0.0; });
+      }
+    }
+  };
+  run(20 * kSecond, kPerSecond, 1);
+  // A jam lets hardly anything through for a while, which is no measure of what the servers can take.
+  run(16 * kSecond, 2, 1);
+  for (Driver& d : drivers) d.List({Entry(99, d.now)}, ListUpdate::kChanges);
+  run(4 * kSecond, kPerSecond, 20);
+  const double full = static_cast<double>(kInstances * kPerSecond) / kWarm;
+  const double mean_share = s.start_capacity + (1 - s.start_capacity) * 0.2;
+  EXPECT_GT(SendTimes(drivers, 99).size(), 1.2 * full * mean_share * 4);
+}
+
 TEST(ColdTest, HoldsWithNothingElseAndNothingKnown) {
   Settings s = BasicSettings();
   s.balancers = 10;
