--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -705,6 +705,49 @@
   EXPECT_GT(SendTimes(drivers, 99).size(), 1.2 * full * mean_share * 4);
 }
 
+// Most warm servers are replaced: the cold take their part of what those took, and no more than the rule allows.
+TEST(ColdTest, TakesItsPartOfWhatLostServersTook) {
+  constexpr int kInstances = 4, kWarm = 12, kPerSecond = 60;
+  Settings s = BasicSettings();
+  s.balancers = kInstances;
+  s.fall_multiple = 4;
+  std::vector<Driver> drivers = Fleet(s, kWarm);
+  RequestId next = 1;
+  const auto run = [&](Micros time) {
+    for (Micros t = 0; t < time; t += kSecond / kPerSecond) {
+      for (Driver& d : drivers) {
+        d.Arrive(next++, 2 * kSecond);
+        d.Advance(kSecond / kPerSecond);
+        EndDue(
+            &d, [](UpstreamId) { return Outcome::kOk; }, [](UpstreamId) { return 1.0; });
+      }
+    }
+  };
+  run(20 * kSecond);
+  const Micros start = drivers[0].now;
+  for (Driver& d : drivers) {
+    std::vector<UpstreamEntry> list = Many(4);
+    for (UpstreamId u = 91; u <= 98; ++u) list.push_back(Entry(u, d.now));
+    d.List(list);
+  }
+  run(4 * kSecond);
+  const double full = static_cast<double>(kInstances * kPerSecond) / kWarm;
+  double sent = 0;
+  for (UpstreamId u = 91; u <= 98; ++u) {
+    const std::vector<Micros> sends = SendTimes(drivers, u);
+    sent += static_cast<double>(sends.size()) / 8;
+    for (size_t i = 0; i < sends.size(); ++i) {
+      const double age = static_cast<double>(sends[i] - start) / static_cast<double>(s.cold_time);
+      const double share = s.start_capacity + (1 - s.start_capacity) * age;
+      const auto end = std::upper_bound(sends.begin(), sends.end(), sends[i] + s.fall_time);
+      EXPECT_LE(static_cast<double>(end - sends.begin()) - static_cast<double>(i),
+                s.fall_multiple * full * share + 1);
+    }
+  }
+  const double mean_share = s.start_capacity + (1 - s.start_capacity) * 0.2;
+  EXPECT_GT(sent, 2.25 * full * mean_share * 4 * 0.85);
+}
+
 TEST(ColdTest, HoldsWithNothingElseAndNothingKnown) {
   Settings s = BasicSettings();
   s.balancers = 10;
