Let a copy of many take the chance crowds of its share from the first second on

The start limit, six for each server, is split by 17 copies: 5.6 for each, and the room for chance crowds that the limit leaves later was nought until twelve answers had come.

Checked and ruled out: few connections, lists or probes (no connect failed, one list call a copy); a larger limit (the sum of all copies is right: it is the small fleet's). At fault: Balancer::Impl::AdjustLimit, slack_ = 0 before kAnswersTell answers.

Now a copy has the room that chance takes in its part of the whole from the start on: two standard deviations of one part among as many as there are copies, and none where it is the only one.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -997,6 +997,8 @@
     answered_ = 0;
     const double servers = static_cast<double>(ready_.size()) / settings_.balancers;
     const double start = limit_ = kStartPerUpstream * servers + kStartGrowth * answers_seen_;
+    // What comes to one copy of many varies by chance, from the first second on.
+    slack_ = kLimitSlack * std::sqrt(limit_ * (1 - 1.0 / settings_.balancers));
     if (latency_ <= 0) recent_time_ = 0;
     if (latency_ <= 0) return;
     const bool starting = answers_seen_ < kAnswersFirst;
@@ -1004,7 +1006,7 @@
     may_take_ = std::max(std::min(kAimShare * aim_, kMostOverQuiet * quiet_),
                          std::min(kOverQuiet * quiet_, kMostOfAim * aim_));
     limit_ = std::max(recent_answers_ / recent_time_ * may_take_, starting ? start : 0);
-    slack_ = answers_seen_ < kAnswersTell ? 0 : kLimitSlack * std::sqrt(limit_) + 1;
+    if (answers_seen_ >= kAnswersTell) slack_ = kLimitSlack * std::sqrt(limit_) + 1;
   }
 
   // --- Housekeeping ---
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -906,6 +906,22 @@
 
 // Servers that answer 50 requests a second in all, asked for 200: what is in hand stays answerable, and the
 // tenant over its share is refused first.
+// A copy of many gets more than its even part of the first requests now and then, and none of its servers has
+// heard of the others' less: nothing may be refused for that.
+TEST(AdmissionTest, ACopyOfManyTakesAChanceCrowdAtTheStart) {
+  Settings s = BasicSettings();
+  s.balancers = 16;
+  Driver d(s);
+  d.List(Many(16));
+  for (RequestId id = 1; id <= 10; ++id) {
+    d.Arrive(id);
+    d.Advance(50'000);
+  }
+  EXPECT_EQ(d.refused.size(), 0u);
+  for (RequestId id = 11; id <= 60; ++id) d.Arrive(id);
+  EXPECT_LE(d.outs.size(), 20u) << "a crowd is still none of its business";
+}
+
 TEST(AdmissionTest, OverloadIsRefusedEarlyAndOverShareFirst) {
   Settings s = BasicSettings();
   s.tenants = {{10}, {1000}};
