Give up nothing before half the aim while it is unknown how long answers take

Answers there take 600 ms: a front server makes calls of its own. At fault: StallTime, which falls back on 150 ms, the least silence, while the mean latency is still nought or that of the first, quick answers.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -39,6 +39,7 @@
 constexpr Micros kLongestAvoided = 30'000'000;  // for a class; doubling from the reset interval
 constexpr double kStallFactor = 4;              // silent for this many mean latencies: stalled
 constexpr Micros kMinStall = 150'000;           // no silence shorter than this is held against an upstream
+constexpr double kFirstStall = 0.5;  // nor one shorter than this share of the least aim before answers tell
 constexpr Micros kFirstEjection = 1'000'000;
 constexpr Micros kLongestEjection = 8'000'000;
 constexpr double kMaxEjected = 0.5;  // eject at most this share: beyond it the trouble is a shared one
@@ -104,7 +105,11 @@
     ask_delay_ = kFirstAskDelay;
     kin_.resize(settings.classes.size() + settings.tenants.size());
     Validate(settings);
-    for (const RequestClass& c : settings_.classes) most_points_ = std::max(most_points_, c.points);
+    least_aim_ = static_cast<double>(settings_.classes.front().aim);
+    for (const RequestClass& c : settings_.classes) {
+      most_points_ = std::max(most_points_, c.points);
+      least_aim_ = std::min(least_aim_, static_cast<double>(c.aim));
+    }
     last_housekeeping_ = window_start_ = now;
     // Instances that start together must not work in step.
     SetTimerIn(1 + random_.Below(kHousekeeping), kHousekeepingToken);
@@ -623,7 +628,13 @@
 
   // --- The life of a request ---
 
-  Micros StallTime() const { return std::max(kMinStall, static_cast<Micros>(kStallFactor * latency_)); }
+  // Before the first answers nothing is known of how long they take, and the first are the quick ones. Guards
+  // against giving up at every start what only takes its time, and holding it against the servers.
+  Micros StallTime() const {
+    const bool known = answers_seen_ + answered_ >= kAnswersTell;
+    const double least = known ? static_cast<double>(kMinStall) : kFirstStall * least_aim_;
+    return static_cast<Micros>(std::max(least, kStallFactor * latency_));
+  }
 
   Micros CheckDelay(const Held& held) const {
     const Micros last = held.deadline - Guard() - now_;
