Give up a lone first call that is silent for half the aim, not for all of it

Seen: the socket test "a silent attempt is closed before another one goes out" ended with 503. Before answers tell, silence counts from half the aim on, and Stalled doubled that where the silent call is the only one out there: a whole aim, after which no second attempt has time. The doubling guards against taking one slow answer for a stall by the mean latency, which is not known here.

Now the first calls are given up after 0.55 of the least aim, lone or not.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -39,7 +39,7 @@
 constexpr Micros kLongestAvoided = 30'000'000;  // for a class; doubling from the reset interval
 constexpr double kStallFactor = 4;              // silent for this many mean latencies: stalled
 constexpr Micros kMinStall = 150'000;           // no silence shorter than this is held against an upstream
-constexpr double kFirstStall = 0.5;  // nor one shorter than this share of the least aim before answers tell
+constexpr double kFirstStall = 0.55;  // nor one shorter than this share of the least aim before answers tell
 constexpr Micros kFirstEjection = 1'000'000;
 constexpr Micros kLongestEjection = 8'000'000;
 constexpr double kMaxEjected = 0.5;  // eject at most this share: beyond it the trouble is a shared one
@@ -630,9 +630,9 @@
 
   // Before the first answers nothing is known of how long they take, and the first are the quick ones. Guards
   // against giving up at every start what only takes its time, and holding it against the servers.
+  bool KnowsLatency() const { return answers_seen_ + answered_ >= kAnswersTell; }
   Micros StallTime() const {
-    const bool known = answers_seen_ + answered_ >= kAnswersTell;
-    const double least = known ? static_cast<double>(kMinStall) : kFirstStall * least_aim_;
+    const double least = KnowsLatency() ? static_cast<double>(kMinStall) : kFirstStall * least_aim_;
     return static_cast<Micros>(std::max(least, kStallFactor * latency_));
   }
 
@@ -742,7 +742,8 @@
   // Silent for long since the attempt went out: two calls out at once, or twice the time, say more than one.
   bool Stalled(const Attempt& a) const {
     const Upstream& up = upstreams_[a.upstream];
-    const Micros silent_for = up.in_flight > 1 ? StallTime() : 2 * StallTime();
+    const bool tells = up.in_flight > 1 || !KnowsLatency();  // and a whole aim would leave no time for another
+    const Micros silent_for = tells ? StallTime() : 2 * StallTime();
     return a.open && !a.called_off && up.answered <= a.sent && now_ - a.sent >= silent_for;
   }
 
