--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -91,7 +91,7 @@
 constexpr double kRateTime = 8e6;   // memory of the rate that warm upstreams take
 constexpr double kRateFall = 60e6;  // and how long it lasts when they take less: a jam is no measure of them
 constexpr double kColdShare = 2;    // a cold one is sent this multiple of its least share of that rate
-constexpr double kColdRule = 0.75;  // and more where warm ones are lost, up to this part of what the rule allows
+constexpr double kColdRule = 0.75;  // and more where warm ones are lost, up to this part of the rule's figure
 
 }  // namespace
 
@@ -559,8 +559,8 @@
 
   Micros ColdSpan() const { return std::max<Micros>(settings_.fall_time, kHousekeeping); }
 
-  // What own sends ask of one warm upstream, were each sent to by what it can do. Those that fail count too: a
-  // trouble of theirs must not push the cold over.
+  // What own sends ask of one warm upstream, were each sent to by what it can do. Those that fail count too:
+  // a trouble of theirs must not push the cold over.
   double EvenShare() const {
     double shares = 0;
     for (const int u : ready_) {
@@ -573,15 +573,16 @@
   // gone, else hundreds of instances would save up and spend in the same second. On the mean it is the own
   // rate to a warm one before any jam, cut to the share that is surely warm, twice over where the rule leaves
   // room: servers warm faster than they must, and what the cold are not sent the few warm ones get on top
-  // until they choke. Where warm ones were lost and the others are asked for more than that rate, the cold take
-  // their part of it. Where nothing is known of peers, all instances together send one for each span.
+  // until they choke. Where warm ones were lost and the others are asked for more than that rate, the cold
+  // take their part of it. Where nothing is known of peers, all instances together send one for each span.
   void DrawColdSends(Upstream& up) {
     if (!IsCold(up) || now_ < up.cold_until) return;
     const double span = static_cast<double>(ColdSpan());
     const double rate = std::max(warm_rate_, 1 / (span * settings_.balancers));
     const double most = kColdRule * settings_.fall_multiple;
     const double lost = warm_rate_ > 0 ? EvenShare() / warm_rate_ : 1;
-    const double share = WarmShare(up) * std::clamp(kColdShare * lost, std::min(kColdShare, most / 1.5), most);
+    const double least = std::min(kColdShare, settings_.fall_multiple / 2);
+    const double share = WarmShare(up) * std::clamp(kColdShare * lost, least, most);
     up.cold_sends = static_cast<int>(rate * span * share + random_.Unit());
     up.cold_until = now_ + ColdSpan();
     if (up.cold_sends > 0) Hold(up);
@@ -742,7 +743,7 @@
   // Silent for long since the attempt went out: two calls out at once, or twice the time, say more than one.
   bool Stalled(const Attempt& a) const {
     const Upstream& up = upstreams_[a.upstream];
-    const bool tells = up.in_flight > 1 || !KnowsLatency();  // and a whole aim would leave no time for another
+    const bool tells = up.in_flight > 1 || !KnowsLatency();  // a whole aim would leave no time for another
     const Micros silent_for = tells ? StallTime() : 2 * StallTime();
     return a.open && !a.called_off && up.answered <= a.sent && now_ - a.sent >= silent_for;
   }
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -705,7 +705,7 @@
   EXPECT_GT(SendTimes(drivers, 99).size(), 1.2 * full * mean_share * 4);
 }
 
-// Most warm servers are replaced: the cold take their part of what those took, and no more than the rule allows.
+// Most warm servers are replaced: the cold take their part of what those took, within the rule.
 TEST(ColdTest, TakesItsPartOfWhatLostServersTook) {
   constexpr int kInstances = 4, kWarm = 12, kPerSecond = 60;
   Settings s = BasicSettings();
