--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -39,7 +39,6 @@
 constexpr Micros kLongestAvoided = 30'000'000;  // for a class; doubling from the reset interval
 constexpr double kStallFactor = 4;              // silent for this many mean latencies: stalled
 constexpr Micros kMinStall = 150'000;           // no silence shorter than this is held against an upstream
-constexpr double kFirstStall = 0.55;  // nor one shorter than this share of the least aim before answers tell
 constexpr Micros kFirstEjection = 1'000'000;
 constexpr Micros kLongestEjection = 8'000'000;
 constexpr double kMaxEjected = 0.5;  // eject at most this share: beyond it the trouble is a shared one
@@ -105,11 +104,7 @@
     ask_delay_ = kFirstAskDelay;
     kin_.resize(settings.classes.size() + settings.tenants.size());
     Validate(settings);
-    least_aim_ = static_cast<double>(settings_.classes.front().aim);
-    for (const RequestClass& c : settings_.classes) {
-      most_points_ = std::max(most_points_, c.points);
-      least_aim_ = std::min(least_aim_, static_cast<double>(c.aim));
-    }
+    for (const RequestClass& c : settings_.classes) most_points_ = std::max(most_points_, c.points);
     last_housekeeping_ = window_start_ = now;
     // Instances that start together must not work in step.
     SetTimerIn(1 + random_.Below(kHousekeeping), kHousekeepingToken);
@@ -629,13 +624,7 @@
 
   // --- The life of a request ---
 
-  // Before the first answers nothing is known of how long they take, and the first are the quick ones. Guards
-  // against giving up at every start what only takes its time, and holding it against the servers.
-  bool KnowsLatency() const { return answers_seen_ + answered_ >= kAnswersTell; }
-  Micros StallTime() const {
-    const double least = KnowsLatency() ? static_cast<double>(kMinStall) : kFirstStall * least_aim_;
-    return static_cast<Micros>(std::max(least, kStallFactor * latency_));
-  }
+  Micros StallTime() const { return std::max(kMinStall, static_cast<Micros>(kStallFactor * latency_)); }
 
   Micros CheckDelay(const Held& held) const {
     const Micros last = held.deadline - Guard() - now_;
@@ -743,8 +732,7 @@
   // Silent for long since the attempt went out: two calls out at once, or twice the time, say more than one.
   bool Stalled(const Attempt& a) const {
     const Upstream& up = upstreams_[a.upstream];
-    const bool tells = up.in_flight > 1 || !KnowsLatency();  // a whole aim would leave no time for another
-    const Micros silent_for = tells ? StallTime() : 2 * StallTime();
+    const Micros silent_for = up.in_flight > 1 ? StallTime() : 2 * StallTime();
     return a.open && !a.called_off && up.answered <= a.sent && now_ - a.sent >= silent_for;
   }
 
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -126,7 +126,6 @@
   std::vector<Kin> kin_;          // of each class, then of each tenant
   double heaviest_ = 0;           // largest weight in the list: smaller ones are drawn the less often
   double most_points_ = 0;        // of the dearest class
-  double least_aim_ = 0;          // of any class
   bool held_timer_ = false;
   int live_ = 0;
   double retry_tokens_ = 0;
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -922,24 +922,6 @@
   EXPECT_LE(d.outs.size(), 20u) << "a crowd is still none of its business";
 }
 
-// Nothing is known yet of how long answers take: what only takes its time is not given up, nor held against a
-// server, before a part of the aim has passed.
-TEST(HealthTest, TheFirstCallsAreNotGivenUpForTakingTheirTime) {
-  Settings s = BasicSettings();
-  s.classes[0].aim = kSecond + kSecond / 2;
-  Driver d(s);
-  d.List(Many(2));
-  for (RequestId id = 1; id <= 4; ++id) d.Arrive(id);
-  d.Advance(700'000);
-  const auto cancelled = [&] {
-    return std::count_if(d.outs.begin(), d.outs.end(), [](const Driver::Out& o) { return o.cancelled; });
-  };
-  EXPECT_EQ(cancelled(), 0);
-  EXPECT_EQ(d.outs.size(), 4u);
-  d.Advance(200'000);
-  EXPECT_GT(cancelled(), 0) << "two silent at one server for half the aim are a stall all the same";
-}
-
 TEST(AdmissionTest, OverloadIsRefusedEarlyAndOverShareFirst) {
   Settings s = BasicSettings();
   s.tenants = {{10}, {1000}};
