--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -904,8 +904,6 @@
   EXPECT_EQ(lower.outs.size(), 500u) << "a call between tiers carries work already done";
 }
 
-// Servers that answer 50 requests a second in all, asked for 200: what is in hand stays answerable, and the
-// tenant over its share is refused first.
 // A copy of many gets more than its even part of the first requests now and then, and none of its servers has
 // heard of the others' less: nothing may be refused for that.
 TEST(AdmissionTest, ACopyOfManyTakesAChanceCrowdAtTheStart) {
@@ -922,6 +920,8 @@
   EXPECT_LE(d.outs.size(), 20u) << "a crowd is still none of its business";
 }
 
+// Servers that answer 50 requests a second in all, asked for 200: what is in hand stays answerable, and the
+// tenant over its share is refused first.
 TEST(AdmissionTest, OverloadIsRefusedEarlyAndOverShareFirst) {
   Settings s = BasicSettings();
   s.tenants = {{10}, {1000}};
