--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -227,6 +227,19 @@
   return drivers;
 }
 
+// Every instance gets `per_second` requests a second for a while.
+template <typename OutcomeOf, typename CountOf>
+void RunFleet(std::vector<Driver>* drivers, RequestId* next, Micros time, int per_second, OutcomeOf outcome_of,
+              CountOf count_of) {
+  for (Micros t = 0; t < time; t += kSecond / per_second) {
+    for (Driver& d : *drivers) {
+      d.Arrive((*next)++, 2 * kSecond);
+      d.Advance(kSecond / per_second);
+      EndDue(&d, outcome_of, count_of);
+    }
+  }
+}
+
 // When any of them sent to an upstream, in order.
 std::vector<Micros> SendTimes(const std::vector<Driver>& drivers, UpstreamId upstream) {
   std::vector<Micros> sends;
@@ -608,15 +621,9 @@
   std::vector<Driver> drivers = Fleet(s, kWarm);
   RequestId next = 1;
   const auto run = [&](Micros time, Outcome warm_outcome) {
-    for (Micros t = 0; t < time; t += kSecond / kPerSecond) {
-      for (Driver& d : drivers) {
-        d.Arrive(next++, 2 * kSecond);
-        d.Advance(kSecond / kPerSecond);
-        EndDue(
-            &d, [&](UpstreamId u) { return u <= kWarm ? warm_outcome : Outcome::kOk; },
-            [](UpstreamId) { return 1.0; });
-      }
-    }
+    RunFleet(
+        &drivers, &next, time, kPerSecond,
+        [&](UpstreamId u) { return u <= kWarm ? warm_outcome : Outcome::kOk; }, [](UpstreamId) { return 1.0; });
   };
   run(20 * kSecond, Outcome::kOk);
   for (Driver& d : drivers) d.List({Entry(99, d.now)}, ListUpdate::kChanges);
@@ -685,15 +692,9 @@
   std::vector<Driver> drivers = Fleet(s, kWarm);
   RequestId next = 1;
   const auto run = [&](Micros time, int per_second, double count) {
-    for (Micros t = 0; t < time; t += kSecond / per_second) {
-      for (Driver& d : drivers) {
-        d.Arrive(next++, 2 * kSecond);
-        d.Advance(kSecond / per_second);
-        EndDue(
-            &d, [](UpstreamId) { return Outcome::kOk; },
-            [&](UpstreamId u) { return u <= kWarm ? count : 0.0; });
-      }
-    }
+    RunFleet(
+        &drivers, &next, time, per_second, [](UpstreamId) { return Outcome::kOk; },
+        [&](UpstreamId u) { return u <= kWarm ? count : 0.0; });
   };
   run(20 * kSecond, kPerSecond, 1);
   // A jam lets hardly anything through for a while, which is no measure of what the servers can take.
@@ -714,14 +715,9 @@
   std::vector<Driver> drivers = Fleet(s, kWarm);
   RequestId next = 1;
   const auto run = [&](Micros time) {
-    for (Micros t = 0; t < time; t += kSecond / kPerSecond) {
-      for (Driver& d : drivers) {
-        d.Arrive(next++, 2 * kSecond);
-        d.Advance(kSecond / kPerSecond);
-        EndDue(
-            &d, [](UpstreamId) { return Outcome::kOk; }, [](UpstreamId) { return 1.0; });
-      }
-    }
+    RunFleet(
+        &drivers, &next, time, kPerSecond, [](UpstreamId) { return Outcome::kOk; },
+        [](UpstreamId) { return 1.0; });
   };
   run(20 * kSecond);
   const Micros start = drivers[0].now;
