--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -229,8 +229,8 @@
 
 // Every instance gets `per_second` requests a second for a while.
 template <typename OutcomeOf, typename CountOf>
-void RunFleet(std::vector<Driver>* drivers, RequestId* next, Micros time, int per_second, OutcomeOf outcome_of,
-              CountOf count_of) {
+void RunFleet(std::vector<Driver>* drivers, RequestId* next, Micros time, int per_second,
+              OutcomeOf outcome_of, CountOf count_of) {
   for (Micros t = 0; t < time; t += kSecond / per_second) {
     for (Driver& d : *drivers) {
       d.Arrive((*next)++, 2 * kSecond);
@@ -623,7 +623,8 @@
   const auto run = [&](Micros time, Outcome warm_outcome) {
     RunFleet(
         &drivers, &next, time, kPerSecond,
-        [&](UpstreamId u) { return u <= kWarm ? warm_outcome : Outcome::kOk; }, [](UpstreamId) { return 1.0; });
+        [&](UpstreamId u) { return u <= kWarm ? warm_outcome : Outcome::kOk; },
+        [](UpstreamId) { return 1.0; });
   };
   run(20 * kSecond, Outcome::kOk);
   for (Driver& d : drivers) d.List({Entry(99, d.now)}, ListUpdate::kChanges);
