Open a second address with readiness, figures, drain and activate

src/console answers one call a connection, has descriptors set aside (a sixteenth of all, 8 to 24), 2 s for a call and a cap under which callers without a whole call make room. Life holds the one state that readiness, drain, activate and SIGTERM share. Figures are counted at book, and where an attempt's last byte is written; what is answered before it is a flow counts as an error of its class. Clients sent away get Connection: close with their next answer; idle connections are closed after a second, a tenth of a second apart.

--- a/include/umberdyke/balancer.h
+++ b/include/umberdyke/balancer.h
@@ -189,6 +189,9 @@
   void OnCheck(Micros now, UpstreamId upstream, Outcome outcome, const std::optional<LoadReport>& report,
                Actions* out);
 
+  // How many of the listed upstreams it keeps off now: those that drain, are ejected, or that all classes avoid.
+  int Avoided(Micros now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kFewestDescriptors = 64;
 constexpr int kUsualDescriptors = 1024;
+constexpr std::int64_t kUsualMemoryMb = 192;
 
 [[noreturn]] void Bad(const std::string& name, const std::string& what) {
   throw ConfigError("configuration: " + name + " " + what);
@@ -135,6 +136,22 @@
   return static_cast<int>(std::min<std::int64_t>(sockets.get<std::int64_t>(), 1 << 20));
 }
 
+std::int64_t MemoryFrom(const Json& json) {
+  const auto limits = json.find("limits");
+  if (limits == json.end() || !limits->contains("memory_mb")) return kUsualMemoryMb << 20;
+  const Json& memory = (*limits)["memory_mb"];
+  if (!memory.is_number() || !(memory.get<double>() >= 1)) Bad("limits.memory_mb", "is no number of at least 1");
+  return static_cast<std::int64_t>(std::min(memory.get<double>(), 1e7) * (1 << 20));
+}
+
+// The second address: the variable goes before the file; neither, and none is opened.
+std::optional<Address> ConsoleFrom(const Json& json, const Environment& environment) {
+  std::optional<std::string> told = environment("ROUTER_CONSOLE");
+  if (!told || told->empty()) told = TextIn(json, "console");
+  if (!told || told->empty()) return std::nullopt;
+  return AddressFrom(*told, "console");
+}
+
 struct Source {
   std::string path;
   std::string text;
@@ -185,6 +202,7 @@
   Config config;
   config.name = Told(json, environment, "ROUTER_NAME", "name");
   config.listen = AddressFrom(Told(json, environment, "ROUTER_LISTEN", "listen"), "listen");
+  config.console = ConsoleFrom(json, environment);
   if (own && json.contains("membership")) config.membership = MembershipFrom(json["membership"]);
   if (!config.membership) {
     config.discovery = AddressFrom(Told(json, environment, "ROUTER_DISCOVERY", "discovery"), "discovery");
@@ -196,6 +214,7 @@
   }
   if (own) config.application = TextIn(json, "application").value_or("");
   config.descriptors = DescriptorsFrom(json);
+  config.memory = MemoryFrom(json);
   if (json.contains("known") && !json["known"].is_null()) config.known = json["known"].dump();
   const auto settings = json.find("settings");
   if (settings == json.end() || !settings->is_object()) Bad("settings", "is missing or no object");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,6 +40,7 @@
 struct Config {
   std::string name;
   Address listen{};
+  std::optional<Address> console;  // the second address; absent: none is opened
   Address discovery{};
   std::uint64_t seed = 0;
   std::string known;  // the list as this sidecar last held it, in discovery's form
@@ -52,6 +53,7 @@
   std::chrono::microseconds connect_timeout{};
   std::chrono::microseconds connection_idle{};
   int descriptors = 0;
+  std::int64_t memory = 0;  // bytes
   std::optional<Membership> membership;
   std::string application;  // empty in the platform's form, like the next two
   std::string log_format;   // text or json
--- /dev/null
+++ b/src/console/console.cpp
@@ -0,0 +1,125 @@
+#include "console/console.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace umberdyke::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span kSlowest = 2s;    // for the whole of a call, from the connect on
+constexpr Span kLinger = 400ms;  // for the caller to read the answer and close
+
+}  // namespace
+
+class Console::Caller : public StreamUser {
+ public:
+  Caller(Console& console) : console_(console), stream_(console.loop_, this), patience_(console.loop_, [this] {
+          Late();
+        }) {}
+
+  bool Accept(Listener& listener) {
+    if (!stream_.Accept(listener.raw())) return false;
+    stream_.Read();
+    patience_.Start(kSlowest);
+    return true;
+  }
+  void Close() { stream_.Close(); }
+  bool answered() const { return answered_; }
+
+ private:
+  void OnData(std::string_view bytes) override {
+    if (answered_) return;  // one call a connection: what follows is read and thrown away
+    size_t used = 0;
+    const Parsed parsed = parser_.Feed(bytes, &used);
+    if (parsed == Parsed::kMore) return;
+    if (parsed == Parsed::kComplete) return Answer(console_.AnswerTo(parser_.Take()));
+    console_.counters_.Add("console_malformed");
+    Answer(NoCallAnswer(NoCallFor(parsed)));
+  }
+  void OnEnd() override { console_.Leave(*this); }
+  void OnWritten(bool ok) override {
+    if (!ok) console_.Leave(*this);
+  }
+
+  // Closed with input unread it would take the answer along: it lingers until the caller has closed.
+  void Answer(std::string bytes) {
+    answered_ = true;
+    patience_.Start(kLinger);
+    if (stream_.Write(std::move(bytes)) != Stream::Wrote::kBroken) stream_.EndSending();
+  }
+
+  void Late() {
+    if (answered_ || !parser_.begun()) return console_.Leave(*this);
+    console_.counters_.Add("console_slow");
+    Answer(NoCallAnswer(NoCallFor(Parsed::kMore)));
+  }
+
+  Console& console_;
+  Stream stream_;
+  HttpParser parser_{HttpParser::Kind::kRequest};
+  bool answered_ = false;
+  Timer patience_;
+};
+
+Console::Console(Loop& loop, ConsoleOwner& owner, Counters& counters, int most_callers)
+    : loop_(loop),
+      owner_(owner),
+      counters_(counters),
+      most_callers_(static_cast<size_t>(std::max(1, most_callers))),
+      listener_(loop, [this] { Come(); }) {}
+
+Console::~Console() = default;
+
+void Console::Come() {
+  if (callers_.size() >= most_callers_) MakeRoom();
+  auto caller = std::make_unique<Caller>(*this);
+  if (!caller->Accept(listener_)) {
+    counters_.Add("console_not_accepted");
+    return;
+  }
+  callers_.push_back(std::move(caller));
+}
+
+// Answered ones only linger; of the others the oldest has had the longest time to send its call.
+bool Console::MakeRoom() {
+  auto it = std::find_if(callers_.begin(), callers_.end(), [](const auto& c) { return c->answered(); });
+  if (it == callers_.end()) it = callers_.begin();
+  if (it == callers_.end()) return false;
+  counters_.Add("console_shed");
+  Leave(**it);
+  return true;
+}
+
+std::string Console::AnswerTo(const Message& message) {
+  const auto call = ReadCall(message);
+  if (const auto* none = std::get_if<NoCall>(&call)) {
+    counters_.Add("console_bad_calls");
+    return NoCallAnswer(*none);
+  }
+  counters_.Add("console_calls");
+  switch (std::get<ConsoleCall>(call)) {
+    case ConsoleCall::kReady:
+      return owner_.ReadyToServe() ? CallAnswer(200, "ready\n") : CallAnswer(503, "not ready\n");
+    case ConsoleCall::kMetrics:
+      return CallAnswer(200, PrintFigures(owner_.CurrentFigures()));
+    case ConsoleCall::kDrain:
+      return owner_.SendClientsAway() ? CallAnswer(200, "drained\n") : CallAnswer(409, "it is ending\n");
+    case ConsoleCall::kActivate:
+      break;
+  }
+  return owner_.TakeClientsBack() ? CallAnswer(200, "active\n") : CallAnswer(409, "it is ending\n");
+}
+
+void Console::Leave(Caller& caller) {
+  const auto it =
+      std::find_if(callers_.begin(), callers_.end(), [&](const auto& c) { return c.get() == &caller; });
+  if (!INVARIANT(it != callers_.end(), counters_)) return;
+  std::unique_ptr<Caller> gone = std::move(*it);
+  callers_.erase(it);
+  gone->Close();
+  loop_.Bury(std::move(gone));
+}
+
+}  // namespace umberdyke::net
--- /dev/null
+++ b/src/console/console.h
@@ -0,0 +1,58 @@
+// The second address, for operators: is it ready, the figures, send clients away, back to work.
+//
+// It knows the rest of the sidecar only through ConsoleOwner, and never waits: each call is answered in the
+// turn of the loop in which its last byte is read. It is bounded by itself: so many callers at once, each with
+// a deadline; over that the oldest that has not sent a whole call makes room. One call a connection.
+#ifndef UMBERDYKE_CONSOLE_CONSOLE_H_
+#define UMBERDYKE_CONSOLE_CONSOLE_H_
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "counters/counters.h"
+#include "loop/loop.h"
+#include "platform/console_calls.h"
+
+namespace umberdyke::net {
+
+class ConsoleOwner {
+ public:
+  virtual bool ReadyToServe() const = 0;
+  virtual Figures CurrentFigures() const = 0;
+  // Clients are to go elsewhere, and may come back. False: it can't be done any more.
+  virtual bool SendClientsAway() = 0;
+  virtual bool TakeClientsBack() = 0;
+
+ protected:
+  ~ConsoleOwner() = default;
+};
+
+class Console {
+ public:
+  Console(Loop& loop, ConsoleOwner& owner, Counters& counters, int most_callers);
+  ~Console();
+
+  // Returns an empty text, or what went wrong.
+  std::string Listen(const Address& address) { return listener_.Listen(address); }
+  Address address() const { return listener_.address(); }
+  size_t callers() const { return callers_.size(); }
+
+ private:
+  class Caller;
+  void Come();
+  std::string AnswerTo(const Message& message);
+  void Leave(Caller& caller);
+  bool MakeRoom();
+
+  Loop& loop_;
+  ConsoleOwner& owner_;
+  Counters& counters_;
+  const size_t most_callers_;
+  std::list<std::unique_ptr<Caller>> callers_;  // oldest first
+  Listener listener_;
+};
+
+}  // namespace umberdyke::net
+
+#endif  // UMBERDYKE_CONSOLE_CONSOLE_H_
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -227,6 +227,15 @@
     for (const RequestId request : std::vector<RequestId>(asking_)) HearCheck(u, told, request);
   }
 
+  int Avoided(Micros now) const {
+    return static_cast<int>(std::count_if(upstreams_.begin(), upstreams_.end(), [&](const Upstream& up) {
+      if (up.vacant || up.unlisted || up.entry.state == UpstreamState::kGone) return false;
+      const auto out = [&](const Upstream::ClassRecord& c) { return now < c.avoided_until; };
+      return up.entry.state == UpstreamState::kDraining || now < up.ejected_until ||
+             std::all_of(up.classes.begin(), up.classes.end(), out);
+    }));
+  }
+
  private:
   const RequestClass& ClassOf(const Held& held) const {
     return settings_.classes[held.request.request_class];
@@ -1068,6 +1077,7 @@
 Balancer::Balancer(const Settings& settings, std::uint64_t seed, Micros now, Actions* out)
     : impl_(std::make_unique<Impl>(settings, seed, now, out)) {}
 Balancer::~Balancer() = default;
+int Balancer::Avoided(Micros now) const { return impl_->Avoided(now); }
 Balancer::Balancer(Balancer&&) noexcept = default;
 Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
--- a/src/flow/admit.cpp
+++ b/src/flow/admit.cpp
@@ -16,6 +16,7 @@
   // A real server tells requests apart by their ids: passed on, this one could get the other's answer.
   if (flows_.Has(request.id)) {
     counters_.Add("requests_of_open_id");
+    refused_(request.request_class);
     edge.Answer(Platform::BadRequestAnswer({409, "a request with this id is open"}), false);
     return nullptr;
   }
--- a/src/flow/admit.h
+++ b/src/flow/admit.h
@@ -12,8 +12,13 @@
 class Admit {
  public:
   using LastCall = std::function<void(FlowId)>;
-  Admit(Loop& loop, FlowTable& flows, Counters& counters, LastCall last_call)
-      : loop_(loop), flows_(flows), counters_(counters), last_call_(std::move(last_call)) {}
+  using Refused = std::function<void(int request_class)>;
+  Admit(Loop& loop, FlowTable& flows, Counters& counters, LastCall last_call, Refused refused)
+      : loop_(loop),
+        flows_(flows),
+        counters_(counters),
+        last_call_(std::move(last_call)),
+        refused_(std::move(refused)) {}
   // Null where another open flow has the request's id: that one is answered here.
   Flow* operator()(EdgeConnection& edge, FlowRequest request) const;
 
@@ -22,6 +27,7 @@
   FlowTable& flows_;
   Counters& counters_;
   const LastCall last_call_;
+  const Refused refused_;
 };
 
 }  // namespace umberdyke::net
--- a/src/flow/book.cpp
+++ b/src/flow/book.cpp
@@ -55,9 +55,10 @@
   decisions_.TellAttempt(report);
 }
 
-void Book::Close(FlowId id) const {
+void Book::Close(FlowId id, Ending ending) const {
   std::unique_ptr<Flow> flow = flows_.Remove(id);
   if (flow == nullptr) return;
+  tally_.Ended(flow->request.request_class, ending);
   flow->last_call->Stop();
   loop_.Bury(std::move(flow));
 }
--- a/src/flow/decisions.h
+++ b/src/flow/decisions.h
@@ -50,6 +50,7 @@
   // Throws ConfigError where the module finds the settings senseless.
   Decisions(Loop& loop, const Config& config, Counters& counters, Actor& actor);
 
+  int Avoided() const { return balancer_->Avoided(ToMicros(Clock::now())); }
   void TellList(const ListChange& change);
   void TellFlow(const Flow& flow);
   void TellAttempt(const AttemptReport& report);
--- a/src/flow/relay.cpp
+++ b/src/flow/relay.cpp
@@ -7,10 +7,11 @@
 
 }  // namespace
 
-void Relay::Served(Flow& flow, const Message& answer, bool draining) const {
+Ending Relay::Served(Flow& flow, const Message& answer, bool draining) const {
   counters_.Add("flows_served");
   const bool keep = KeepAlive(flow, draining);
   Write(flow, platform_.ServedAnswer(answer, keep), keep);
+  return Ending::kServed;
 }
 
 // A refusal tells the client that it may send the request anew: a second effect, if this one had one.
@@ -20,19 +21,21 @@
   return c.repeat == Repeat::kSafe || (c.repeat == Repeat::kKeyed && c.group == Group::kAll);
 }
 
-void Relay::TurnDown(Flow& flow, std::chrono::microseconds retry_after, bool draining) const {
+Ending Relay::TurnDown(Flow& flow, std::chrono::microseconds retry_after, bool draining) const {
   if (!INVARIANT(MayTurnDown(flow), counters_)) return Failed(flow, draining);
   counters_.Add("flows_turned_down");
   const bool keep = KeepAlive(flow, draining);
   Write(flow, Platform::TurnDownAnswer(retry_after, keep), keep);
+  return Ending::kTurnedDown;
 }
 
-void Relay::Failed(Flow& flow, bool draining) const {
+Ending Relay::Failed(Flow& flow, bool draining) const {
   counters_.Add("flows_failed");
   const bool keep = KeepAlive(flow, draining);
   const bool in_time = Clock::now() < flow.deadline - std::chrono::milliseconds(20);
   const bool unfit = flow.unfit != 0;
   Write(flow, unfit ? Platform::UnfitAnswer(flow.unfit, keep) : Platform::FailedAnswer(in_time, keep), keep);
+  return Ending::kFailed;
 }
 
 void Relay::Write(Flow& flow, std::string answer, bool keep_alive) const {
--- a/src/flow/relay.h
+++ b/src/flow/relay.h
@@ -6,6 +6,7 @@
 
 #include "counters/counters.h"
 #include "flow/flow.h"
+#include "flow/tally.h"
 #include "platform/platform.h"
 
 namespace umberdyke::net {
@@ -15,10 +16,10 @@
   Relay(const Platform& platform, const Settings& settings, Counters& counters)
       : platform_(platform), settings_(settings), counters_(counters) {}
 
-  void Served(Flow& flow, const Message& answer, bool draining) const;
+  Ending Served(Flow& flow, const Message& answer, bool draining) const;
   // Says that trying again is harmless, where that is true; else it fails.
-  void TurnDown(Flow& flow, std::chrono::microseconds retry_after, bool draining) const;
-  void Failed(Flow& flow, bool draining) const;
+  Ending TurnDown(Flow& flow, std::chrono::microseconds retry_after, bool draining) const;
+  Ending Failed(Flow& flow, bool draining) const;
 
  private:
   bool MayTurnDown(const Flow& flow) const;
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -11,12 +11,12 @@
   const auto wait = std::chrono::floor<std::chrono::milliseconds>(routed.wait);
   const ExchangeId exchange = servers_.Start(
       routed.server, routed.address, platform_.RequestFor(flow.request, wait), routed.wait,
-      [this, server = routed.server] { return route_.Open(server); },
-      [this, key, server = routed.server](ExchangeEnd end) {
-        attempts_.erase(key);
-        const Outcome outcome = OutcomeOf(end);
-        done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
-      });
+      {[this, server = routed.server] { return route_.Open(server); }, [this] { tally_.Dispatched(); },
+       [this, key, server = routed.server](ExchangeEnd end) {
+         attempts_.erase(key);
+         const Outcome outcome = OutcomeOf(end);
+         done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
+       }});
   attempts_[key] = {exchange, routed.server, Clock::now()};
 }
 
@@ -31,7 +31,7 @@
   done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}});
 }
 
-Outcome SendOut::OutcomeOf(const ExchangeEnd& end) const {
+Outcome SendOut::OutcomeOf(const ExchangeEnd& end) {
   switch (end.how) {
     case ExchangeEnd::How::kAnswered:
       return Platform::OutcomeOf(end.answer);
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -8,6 +8,7 @@
 
 #include "counters/counters.h"
 #include "flow/flow.h"
+#include "flow/tally.h"
 #include "platform/platform.h"
 #include "server/real_server.h"
 #include "flow/route.h"
@@ -26,11 +27,12 @@
 class SendOut {
  public:
   using Done = std::function<void(AttemptResult)>;
-  SendOut(RealServers& servers, const Route& route, const Platform& platform, Counters& counters, bool copies,
-          Done done)
+  SendOut(RealServers& servers, const Route& route, const Platform& platform, Tally& tally,
+          Counters& counters, bool copies, Done done)
       : servers_(servers),
         route_(route),
         platform_(platform),
+        tally_(tally),
         counters_(counters),
         copies_(copies),
         done_(std::move(done)) {}
@@ -39,6 +41,7 @@
   // Ends the attempt at once; nothing for one that is over.
   void Cancel(FlowId flow, int attempt);
   size_t open() const { return attempts_.size(); }
+  static Outcome OutcomeOf(const ExchangeEnd& end);
 
  private:
   struct Attempt {
@@ -46,11 +49,10 @@
     ServerId server;
     Time sent;
   };
-  Outcome OutcomeOf(const ExchangeEnd& end) const;
-
   RealServers& servers_;
   const Route& route_;
   const Platform& platform_;
+  Tally& tally_;
   Counters& counters_;
   const bool copies_;  // two attempts of one flow may be in flight together
   const Done done_;
--- a/src/flow/take_in.cpp
+++ b/src/flow/take_in.cpp
@@ -2,8 +2,9 @@
 
 namespace umberdyke::net {
 
-std::optional<FlowRequest> TakeIn::operator()(EdgeConnection& edge, Message message, bool draining) const {
-  const bool keep_alive = message.keep_alive && !draining;
+std::optional<FlowRequest> TakeIn::operator()(EdgeConnection& edge, Message message, bool ready,
+                                              bool leaving) const {
+  const bool keep_alive = message.keep_alive && !leaving;
   auto read = platform_.ReadRequest(std::move(message));
   if (auto* request = std::get_if<FlowRequest>(&read)) {
     counters_.Add("flows_taken");
@@ -11,11 +12,12 @@
   }
   if (const auto* bad = std::get_if<BadRequest>(&read)) {
     counters_.Add("requests_bad");
+    if (bad->request_class) refused_(*bad->request_class);
     edge.Answer(Platform::BadRequestAnswer(*bad), keep_alive && bad->status == 404);
   } else if (std::get<Page>(read) == Page::kCounters) {
     edge.Answer(Platform::PageAnswer(200, counters_.Print("\n"), keep_alive), keep_alive);
   } else {
-    edge.Answer(Platform::PageAnswer(draining ? 503 : 200, draining ? "draining\n" : "ready\n", keep_alive),
+    edge.Answer(Platform::PageAnswer(ready ? 200 : 503, ready ? "ready\n" : "draining\n", keep_alive),
                 keep_alive);
   }
   return std::nullopt;
--- a/src/flow/take_in.h
+++ b/src/flow/take_in.h
@@ -2,6 +2,7 @@
 #ifndef UMBERDYKE_FLOW_TAKE_IN_H_
 #define UMBERDYKE_FLOW_TAKE_IN_H_
 
+#include <functional>
 #include <optional>
 
 #include "counters/counters.h"
@@ -12,15 +13,20 @@
 
 class TakeIn {
  public:
-  TakeIn(const Platform& platform, Counters& counters) : platform_(platform), counters_(counters) {}
-  // Nothing where the message was answered here: the sidecar's own pages and bad requests.
-  std::optional<FlowRequest> operator()(EdgeConnection& edge, Message message, bool draining) const;
+  // `refused` hears of each request of a known class that is answered here.
+  using Refused = std::function<void(int request_class)>;
+  TakeIn(const Platform& platform, Counters& counters, Refused refused)
+      : platform_(platform), counters_(counters), refused_(std::move(refused)) {}
+  // Nothing where the message was answered here: the sidecar's own pages and bad requests. `ready` is what the
+  // page of that name says; `leaving` connections end with their next answer.
+  std::optional<FlowRequest> operator()(EdgeConnection& edge, Message message, bool ready, bool leaving) const;
   void Refuse(EdgeConnection& edge, Parsed why) const;
   void RefuseSlow(EdgeConnection& edge) const;
 
  private:
   const Platform& platform_;
   Counters& counters_;
+  const Refused refused_;
 };
 
 }  // namespace umberdyke::net
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -10,6 +10,8 @@
       {Event::kEnded, "ended", Level::kInfo, false},
       {Event::kCounters, "counters", Level::kInfo, true},
       {Event::kDrainBegins, "drain-begins", Level::kInfo, false},
+      {Event::kClientsSentAway, "clients-sent-away", Level::kInfo, true},
+      {Event::kClientsTakenBack, "clients-taken-back", Level::kInfo, true},
       {Event::kReloaded, "reloaded", Level::kInfo, true},
       {Event::kReloadRefused, "reload-refused", Level::kError, true},
       {Event::kDiscoveryBroke, "discovery-broke", Level::kWarning, true},
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -16,6 +16,8 @@
   kEnded,
   kCounters,
   kDrainBegins,
+  kClientsSentAway,
+  kClientsTakenBack,
   kReloaded,
   kReloadRefused,
   kDiscoveryBroke,
@@ -56,7 +58,7 @@
     Time filled{};
     std::uint64_t held_back = 0;
   };
-  std::array<Bucket, 16> buckets_{};
+  std::array<Bucket, 24> buckets_{};
 };
 
 }  // namespace umberdyke::log
--- a/src/membership/service_entry.cpp
+++ b/src/membership/service_entry.cpp
@@ -1,5 +1,7 @@
 #include "membership/service_entry.h"
 
+#include <algorithm>
+
 namespace umberdyke::net {
 
 void ServiceEntry::Take(const ListedChange& listed, ListUpdate kind) {
@@ -25,6 +27,12 @@
   told_(change);
 }
 
+size_t ServiceEntry::listed() const {
+  return static_cast<size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& server) {
+    return server.second.state != UpstreamState::kGone;
+  }));
+}
+
 void ServiceEntry::Forget(Time gone_before) {
   std::erase_if(servers_, [&](const auto& item) {
     const ServerRecord& record = item.second;
--- a/src/membership/service_entry.h
+++ b/src/membership/service_entry.h
@@ -48,6 +48,8 @@
     return it == servers_.end() ? nullptr : &it->second;
   }
   size_t size() const { return servers_.size(); }
+  // Those that the list names now.
+  size_t listed() const;
   // Lets go of servers that have long gone: they are replaced all day, by others with other ids.
   void Forget(Time gone_before);
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -116,6 +116,15 @@
 }  // namespace
 
 std::variant<FlowRequest, BadRequest, Page> Platform::ReadRequest(Message message) const {
+  const std::string* name = message.Find(kClass);
+  const auto request_class = name ? NumberOf(config_.class_names, *name) : std::nullopt;
+  auto read = ReadRequest(std::move(message), request_class);
+  if (auto* bad = std::get_if<BadRequest>(&read)) bad->request_class = request_class;
+  return read;
+}
+
+std::variant<FlowRequest, BadRequest, Page> Platform::ReadRequest(Message message,
+                                                                  std::optional<int> request_class) const {
   if (message.target == kReady || message.target == kCounters) {
     if (message.method != "GET") return BadRequest{400, "this page takes GET"};
     return message.target == kReady ? Page::kReady : Page::kCounters;
@@ -134,8 +143,6 @@
   const std::string* id = message.Find(kId);
   if (id == nullptr || id->empty()) return BadRequest{400, std::string(kId) + " is missing"};
   request.id = *id;
-  const std::string* name = message.Find(kClass);
-  const auto request_class = name ? NumberOf(config_.class_names, *name) : std::nullopt;
   if (!request_class) return BadRequest{400, std::string(kClass) + " is missing or unknown"};
   request.request_class = *request_class;
   if (!config_.tenant_names.empty()) {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -31,6 +31,7 @@
 struct BadRequest {
   int status;
   std::string why;
+  std::optional<int> request_class{};  // where it names one
 };
 
 // The sidecar's own pages.
@@ -83,6 +84,8 @@
   static std::string MemberText(const Config& config);
 
  private:
+  std::variant<FlowRequest, BadRequest, Page> ReadRequest(Message message,
+                                                          std::optional<int> request_class) const;
   std::optional<LoadReport> ReadReport(std::string_view json) const;
 
   const Config& config_;
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -37,8 +37,7 @@
 
   const ExchangeId id;
   std::string request;
-  MayBegin may_begin;
-  Done done;
+  ExchangeEvents events;
   Time started{};
   Time until{};
   bool connecting = false;
@@ -54,12 +53,11 @@
 RealServers::~RealServers() = default;
 
 ExchangeId RealServers::Start(ServerId server, const Address& address, std::string request, Span time_out,
-                              MayBegin may_begin, Done done) {
+                              ExchangeEvents events) {
   const ExchangeId id = ++last_;
   Exchange& exchange = *(exchanges_[id] = std::make_unique<Exchange>(*this, id));
   exchange.request = std::move(request);
-  exchange.may_begin = std::move(may_begin);
-  exchange.done = std::move(done);
+  exchange.events = std::move(events);
   exchange.started = Clock::now();
   exchange.until = exchange.started + time_out;
   const auto end_later = [this, id](How how) {
@@ -97,18 +95,23 @@
 
 void RealServers::Begin(Exchange& exchange) {
   const Stream::Wrote wrote = exchange.connection->stream.Write(std::move(exchange.request));
-  exchange.written = wrote == Stream::Wrote::kAll;
+  if (wrote == Stream::Wrote::kAll) Sent(exchange);
   if (wrote != Stream::Wrote::kBroken) return;
   loop_.Post(alive_, [this, id = exchange.id] {
     if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, How::kNotConnected);
   });
 }
 
+void RealServers::Sent(Exchange& exchange) {
+  exchange.written = true;
+  if (exchange.events.sent) exchange.events.sent();
+}
+
 void RealServers::Connected(Connection& connection, bool ok) {
   Exchange& exchange = *connection.exchange;
   exchange.connecting = false;
   // The list may have changed while the connection came up.
-  if (!ok || !exchange.may_begin()) return End(exchange, How::kNotConnected);
+  if (!ok || !exchange.events.may_begin()) return End(exchange, How::kNotConnected);
   exchange.timer.Start(std::max<Span>(exchange.until - Clock::now(), Span::zero()));
   connection.stream.Read();
   Begin(exchange);
@@ -162,8 +165,8 @@
 
 void RealServers::Written(Connection& connection, bool ok) {
   if (connection.exchange == nullptr) return;
-  connection.exchange->written = ok;
-  if (!ok) End(*connection.exchange, How::kNotConnected);
+  if (!ok) return End(*connection.exchange, How::kNotConnected);
+  Sent(*connection.exchange);
 }
 
 void RealServers::Late(ExchangeId id) {
@@ -184,7 +187,7 @@
   exchanges_.erase(it);
   ended->timer.Stop();
   if (ended->connection != nullptr) Discard(std::move(ended->connection));
-  const Done done = std::move(ended->done);
+  const auto done = std::move(ended->events.done);
   const Span took = Clock::now() - ended->started;
   loop_.Bury(std::move(ended));
   done({how, std::move(answer), took});
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -32,6 +32,14 @@
   Span took{};
 };
 
+// What the one that starts an exchange is asked and told.
+struct ExchangeEvents {
+  std::function<bool()> may_begin;  // asked right before the first byte goes out
+  std::function<void()> sent;       // the request's last byte is written; may be empty
+  // Follows in any case but GiveUp, never from inside Start; the connection is closed or at rest by then.
+  std::function<void(ExchangeEnd)> done;
+};
+
 class RealServers {
  public:
   struct Limits {
@@ -39,15 +47,12 @@
     std::chrono::microseconds idle;  // real servers close what stood idle for this long
     int descriptors;
   };
-  using MayBegin = std::function<bool()>;  // asked right before the first byte goes out
-  using Done = std::function<void(ExchangeEnd)>;
 
   RealServers(Loop& loop, const Limits& limits, Counters& counters);
   ~RealServers();
 
-  // `done` follows, never from inside this call; the connection is closed or at rest by then.
   ExchangeId Start(ServerId server, const Address& address, std::string request, Span time_out,
-                   MayBegin may_begin, Done done);
+                   ExchangeEvents events);
   // Closes the exchange's connection; `done` does not follow. Says whether the request had been written
   // whole; nothing for an exchange that is over.
   std::optional<bool> GiveUp(ExchangeId exchange);
@@ -61,6 +66,7 @@
   struct Exchange;
 
   void Begin(Exchange& exchange);
+  void Sent(Exchange& exchange);
   void Connected(Connection& connection, bool ok);
   void Data(Connection& connection, std::string_view bytes);
   void Ended(Connection& connection);
--- /dev/null
+++ b/src/sidecar/life.h
@@ -0,0 +1,46 @@
+// What a sidecar is doing, in one place: readiness, drain, activate and the notice to end share it. Pure.
+#ifndef UMBERDYKE_SIDECAR_LIFE_H_
+#define UMBERDYKE_SIDECAR_LIFE_H_
+
+namespace umberdyke::net {
+
+class Life {
+ public:
+  enum class State {
+    kStarting,  // cannot serve yet
+    kServing,
+    kDrained,  // clients are sent elsewhere; what comes all the same is served
+    kEnding,   // told to end: nothing leads back
+  };
+  State state() const {
+    if (ending_) return State::kEnding;
+    if (drained_) return State::kDrained;
+    return can_serve_ ? State::kServing : State::kStarting;
+  }
+  bool ready() const { return state() == State::kServing; }
+
+  void Serve() { can_serve_ = true; }
+  // These three are told as often as anybody likes, in any order; false where it is ending already.
+  bool Drain() {
+    drained_ = drained_ || !ending_;
+    return !ending_;
+  }
+  bool Activate() {
+    drained_ = drained_ && ending_;
+    return !ending_;
+  }
+  bool End() {
+    const bool first = !ending_;
+    ending_ = true;
+    return first;
+  }
+
+ private:
+  bool can_serve_ = false;
+  bool drained_ = false;
+  bool ending_ = false;
+};
+
+}  // namespace umberdyke::net
+
+#endif  // UMBERDYKE_SIDECAR_LIFE_H_
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -19,8 +19,16 @@
 constexpr Span kForget = 60s;        // after this a server that has gone is nobody's business any more
 constexpr Span kAcceptAgain = 50ms;  // while clients wait for a connection to be spared
 constexpr Span kCheckTime = 200ms;
-// Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery.
-constexpr int kOtherDescriptors = 48;
+// Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery, and those
+// set aside for the console's callers, which nobody else may use.
+constexpr int kOtherDescriptors = 24;
+constexpr int kFewestCallers = 8;
+constexpr int kMostCallers = 24;
+// Clients that are sent away: their connections end with an answer; those that ask nothing are left alone for a
+// while, as a close may cross a request, and closed in time for the notice of two seconds.
+constexpr Span kLeaveAlone = 1s;
+constexpr Span kIdleSweep = 100ms;
+constexpr Span kStillIdle = 300ms;
 
 // From the notice to the end that an operator forces.
 Span KillTime(const Settings& settings) {
@@ -39,10 +47,18 @@
   return std::max<Span>(KillTime(settings) - useful - kToSpare, kServeOnAtLeast);
 }
 
-int EdgeLimit(const Config& config) { return (config.descriptors - kOtherDescriptors) / 2; }
+int MostCallers(const Config& config) {
+  return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers);
+}
+
+// Of clients, and as many of real servers.
+int EdgeLimit(const Config& config) {
+  const int callers = config.console ? MostCallers(config) : kMostCallers;
+  return (config.descriptors - kOtherDescriptors - callers) / 2;
+}
 
 RealServers::Limits ServerLimits(const Config& config) {
-  return {config.connect_timeout, config.connection_idle, (config.descriptors - kOtherDescriptors) / 2};
+  return {config.connect_timeout, config.connection_idle, EdgeLimit(config)};
 }
 
 }  // namespace
@@ -52,23 +68,32 @@
       config_(config),
       log_(std::move(log)),
       platform_(config_),
+      tally_(config_.class_names),
       entry_(counters_, [this](const ListChange& c) { Told(c); }),
       servers_(loop, ServerLimits(config_), counters_),
       decisions_(loop, config_, counters_, *this),
-      take_in_(platform_, counters_),
-      admit_(loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); }),
+      take_in_(platform_, counters_, [this](int request_class) { book_.Refused(request_class); }),
+      admit_(loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); },
+             [this](int request_class) { book_.Refused(request_class); }),
       route_(entry_, config_.settings),
-      send_(servers_, route_, platform_, counters_, config_.settings.parallel_attempts,
+      send_(servers_, route_, platform_, tally_, counters_, config_.settings.parallel_attempts,
             [this](AttemptResult result) { AttemptEnded(std::move(result)); }),
       relay_(platform_, config_.settings, counters_),
-      book_(loop, flows_, platform_, decisions_, counters_),
+      book_(loop, flows_, platform_, decisions_, tally_, counters_),
       listener_(loop, [this] { AcceptWaiting(); }),
       accept_timer_(loop, [this] { OnRested(); }),
       close_timer_(loop, [this] { CloseEdges(); }),
+      idle_timer_(loop, [this] { CloseIdleEdges(); }),
       tick_(loop, [this] { Tick(); }) {
   if (const std::string error = listener_.Listen(config_.listen); !error.empty()) {
     throw ConfigError("configuration: listen cannot be listened on: " + error);
   }
+  if (config_.console) {
+    console_ = std::make_unique<Console>(loop, *this, counters_, MostCallers(config_));
+    if (const std::string error = console_->Listen(*config_.console); !error.empty()) {
+      throw ConfigError("configuration: console cannot be listened on: " + error);
+    }
+  }
   const std::optional<ListedChange> known = platform_.ReadList(config_.known);
   if (!known && !config_.known.empty()) counters_.Add("discovery_unreadable");
   source_ = MakeSource(loop, platform_, config_, known.value_or(ListedChange{}), counters_, *log_,
@@ -76,6 +101,7 @@
                         [this](const std::string& why) { entry_.Failed(why); }});
   entry_.Take(known.value_or(ListedChange{}), ListUpdate::kCached);
   if (config_.membership) source_->Watch(true);
+  life_.Serve();
   tick_.Start(kTick);
 }
 
@@ -133,7 +159,7 @@
 }
 
 void Sidecar::OnRequest(EdgeConnection& edge, Message message) {
-  std::optional<FlowRequest> request = take_in_(edge, std::move(message), draining_);
+  std::optional<FlowRequest> request = take_in_(edge, std::move(message), life_.ready(), leaving());
   if (!request) return;
   if (Flow* flow = admit_(edge, std::move(*request)); flow != nullptr) decisions_.TellFlow(*flow);
 }
@@ -156,7 +182,7 @@
   loop_.Bury(std::move(gone));
   if (flow != 0) {
     counters_.Add("flows_left");
-    book_.Close(flow);
+    book_.Close(flow, Ending::kLeft);
     decisions_.TellGone(flow);
   }
   OnRested();
@@ -178,8 +204,7 @@
   if (flow != nullptr && result.outcome == Outcome::kUnfit) flow->unfit = result.answer.status;
   const bool served = flow != nullptr && result.outcome == Outcome::kOk;
   if (served) {
-    relay_.Served(*flow, result.answer, closing_);
-    book_.Close(result.flow);
+    book_.Close(result.flow, relay_.Served(*flow, result.answer, leaving()));
   }
   book_.Attempt(result, served || flow == nullptr);
 }
@@ -187,15 +212,13 @@
 void Sidecar::TurnDown(FlowId id, std::chrono::microseconds retry_after) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
-  relay_.TurnDown(*flow, retry_after, closing_);
-  book_.Close(id);
+  book_.Close(id, relay_.TurnDown(*flow, retry_after, leaving()));
 }
 
 void Sidecar::FailFlow(FlowId id) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
-  relay_.Failed(*flow, closing_);
-  book_.Close(id);
+  book_.Close(id, relay_.Failed(*flow, leaving()));
 }
 
 // A source may keep servers against its own list for as long as they can be reached.
@@ -211,8 +234,7 @@
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
   counters_.Add("flows_last_call");
-  relay_.Failed(*flow, closing_);
-  book_.Close(id);
+  book_.Close(id, relay_.Failed(*flow, leaving()));
   decisions_.TellGone(id);
 }
 
@@ -222,19 +244,14 @@
   if (record == nullptr || !route_.Open(server)) return decisions_.TellCheck(server, Outcome::kNotSent, {});
   servers_.Start(
       server, record->address, platform_.CheckRequest(PrintAddress(record->address)), kCheckTime,
-      [this, server] { return route_.Open(server); },
-      [this, server](const ExchangeEnd& end) {
-        using How = ExchangeEnd::How;
-        const bool answered = end.how == How::kAnswered;
-        const Outcome outcome = answered                        ? Platform::OutcomeOf(end.answer)
-                                : end.how == How::kNotConnected ? Outcome::kConnectFailed
-                                : end.how == How::kBroken       ? Outcome::kReset
-                                : end.how == How::kSpoilt       ? Outcome::kSpoilt
-                                : end.how == How::kTimedOut     ? Outcome::kTimeout
-                                                                : Outcome::kNotSent;
-        Heard(server, outcome);
-        decisions_.TellCheck(server, outcome, answered ? platform_.ReportInCheck(end.answer) : std::nullopt);
-      });
+      {[this, server] { return route_.Open(server); },
+       {},
+       [this, server](const ExchangeEnd& end) {
+         const Outcome outcome = SendOut::OutcomeOf(end);
+         const bool answered = end.how == ExchangeEnd::How::kAnswered;
+         Heard(server, outcome);
+         decisions_.TellCheck(server, outcome, answered ? platform_.ReportInCheck(end.answer) : std::nullopt);
+       }});
 }
 
 void Sidecar::Tick() {
@@ -244,9 +261,42 @@
   tick_.Start(kTick);
 }
 
-void Sidecar::Drain(std::function<void()> drained) {
-  if (draining_) return;
-  draining_ = true;
+Figures Sidecar::CurrentFigures() const {
+  Figures figures = tally_.figures();
+  figures.concurrent = flows_.size();
+  figures.targets = entry_.listed();
+  figures.targets_disabled = static_cast<std::uint64_t>(decisions_.Avoided());
+  return figures;
+}
+
+bool Sidecar::SendClientsAway() {
+  if (!life_.Drain()) return false;
+  counters_.Add("drains");
+  log_->Say(Event::kClientsSentAway, config_.name + " sends its clients away",
+            {{"connections", static_cast<std::int64_t>(edges_.size())}});
+  idle_timer_.Start(kLeaveAlone);
+  return true;
+}
+
+bool Sidecar::TakeClientsBack() {
+  if (!life_.Activate()) return false;
+  counters_.Add("activations");
+  log_->Say(Event::kClientsTakenBack, config_.name + " takes clients again", {});
+  idle_timer_.Stop();
+  return true;
+}
+
+void Sidecar::CloseIdleEdges() {
+  std::vector<EdgeConnection*> idle;
+  for (const auto& [edge, owned] : edges_) {
+    if (edge->idle() && Clock::now() - edge->rested() >= kStillIdle) idle.push_back(edge);
+  }
+  for (EdgeConnection* edge : idle) edge->CloseWhenIdle();
+  idle_timer_.Start(kIdleSweep);
+}
+
+void Sidecar::End(std::function<void()> drained) {
+  if (!life_.End()) return;
   drained_ = std::move(drained);
   log_->Say(Event::kDrainBegins,
             config_.name + " was told to end: " + std::to_string(flows_.size()) + " flows are open",
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "config/config.h"
+#include "console/console.h"
 #include "counters/counters.h"
 #include "edge/edge_connection.h"
 #include "flow/admit.h"
@@ -17,29 +18,38 @@
 #include "flow/route.h"
 #include "flow/send.h"
 #include "flow/take_in.h"
+#include "flow/tally.h"
 #include "log/log.h"
 #include "loop/loop.h"
 #include "membership/service_entry.h"
 #include "membership/source.h"
 #include "platform/platform.h"
 #include "server/real_server.h"
+#include "sidecar/life.h"
 
 namespace umberdyke::net {
 
-class Sidecar : public EdgeOwner, public Actor {
+class Sidecar : public EdgeOwner, public Actor, public ConsoleOwner {
  public:
   // Throws ConfigError where it cannot listen or the module finds the settings senseless.
   Sidecar(Loop& loop, const Config& config, std::shared_ptr<log::Log> log);
   ~Sidecar();
 
   Address address() const { return listener_.address(); }
+  // The second address; only where the configuration sets one.
+  Address console_address() const { return console_->address(); }
   // Serves on for a while, then ends connections after their answers; `drained` follows once all are closed.
-  void Drain(std::function<void()> drained);
+  void End(std::function<void()> drained);
   // Takes discovery's address from a new configuration; where `load` throws, all stays as it was.
   void Reload(const std::function<Config()>& load);
   const Counters& counters() const { return counters_; }
 
  private:
+  bool ReadyToServe() const override { return life_.ready(); }
+  Figures CurrentFigures() const override;
+  bool SendClientsAway() override;
+  bool TakeClientsBack() override;
+
   void OnRequest(EdgeConnection& edge, Message message) override;
   void OnBadInput(EdgeConnection& edge, Parsed why) override { take_in_.Refuse(edge, why); }
   void OnSlowInput(EdgeConnection& edge) override { take_in_.RefuseSlow(edge); }
@@ -63,13 +73,18 @@
   void LastCall(FlowId flow);
   void Tick();
   void CloseEdges();
+  void CloseIdleEdges();
+  // Connections end with their next answer.
+  bool leaving() const { return closing_ || life_.state() == Life::State::kDrained; }
 
   Loop& loop_;
   const Config config_;
   const std::shared_ptr<log::Log> log_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   Counters counters_;
+  Life life_;
   const Platform platform_;
+  Tally tally_;
   FlowTable flows_;
   ServiceEntry entry_;
   std::unique_ptr<MemberSource> source_;
@@ -82,15 +97,16 @@
   const Relay relay_;
   const Book book_;
   Listener listener_;
+  std::unique_ptr<Console> console_;
   std::unordered_map<EdgeConnection*, std::unique_ptr<EdgeConnection>> edges_;
   int watch_failures_ = 0;  // in a row
   bool accept_waits_ = false;
-  bool draining_ = false;  // told to end
-  bool closing_ = false;   // and new connections come no more
+  bool closing_ = false;  // told to end, and new connections come no more
   Time kill_at_{};         // the end that is forced where it has not come by itself
   std::function<void()> drained_;
   Timer accept_timer_;
   Timer close_timer_;
+  Timer idle_timer_;
   Timer tick_;
 };
 
--- a/tests/net/rules_test.cpp
+++ b/tests/net/rules_test.cpp
@@ -383,7 +383,7 @@
   const auto kept = site.Connect();
   bool drained = false;
   const Time start = Clock::now();
-  site.sidecar->Drain([&] { drained = true; });
+  site.sidecar->End([&] { drained = true; });
   const auto late = site.Connect();  // a new connection after the notice
   // A client with a connection is served for as long as its answer comes before the end is forced.
   site.loop.RunUntil([] { return false; }, 1300ms);
--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -94,7 +94,8 @@
 
 // A sidecar between scripted parties. Discovery answers each watch with its head and keeps it open.
 struct Site {
-  explicit Site(int servers = 2, int descriptors = 1024) : discovery(loop) {
+  explicit Site(int servers = 2, int descriptors = 1024, const Environment& environment = NoEnvironment())
+      : discovery(loop) {
     discovery.script = [this](Party::Peer& peer) {
       watch = &peer;
       peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -106,7 +107,7 @@
     }
     const std::string text = ConfigText(discovery.address(), ListText(1, true, lines), descriptors);
     sidecar = std::make_unique<Sidecar>(
-        loop, ParseConfig(text, NoEnvironment()), log::NoLog());
+        loop, ParseConfig(text, environment), log::NoLog());
   }
   void Script(std::function<void(Party::Peer&)> script) {
     for (auto& server : real) server->script = script;
@@ -124,8 +125,9 @@
   bool Until(const std::function<bool()>& done) { return loop.RunUntil(done, 10s); }
   std::unique_ptr<Client> Connect() { return std::make_unique<Client>(loop, sidecar->address()); }
   // The one answer to a request on a new connection; status 0 where none came.
-  Message Ask(const std::string& request) {
-    const auto client = Connect();
+  Message Ask(const std::string& request) { return AskAt(sidecar->address(), request); }
+  Message AskAt(const Address& address, const std::string& request) {
+    const auto client = std::make_unique<Client>(loop, address);
     client->Send(request);
     Until([&] { return !client->answers.empty() || client->ended; });
     return client->answers.empty() ? Message() : client->answers.front();
