Hand the clients' listening socket over to a process that replaces this one

Half of the descriptors each while both live. What goes wrong with the folder, the other process or its answer leaves an ordinary start with SO_REUSEPORT; an address that a predecessor without any of this holds is tried until free.

Nothing of it acts where no console is set.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -203,6 +203,7 @@
   config.name = Told(json, environment, "ROUTER_NAME", "name");
   config.listen = AddressFrom(Told(json, environment, "ROUTER_LISTEN", "listen"), "listen");
   config.console = ConsoleFrom(json, environment);
+  config.runtime_folder = environment("TMPDIR").value_or("");
   if (own && json.contains("membership")) config.membership = MembershipFrom(json["membership"]);
   if (!config.membership) {
     config.discovery = AddressFrom(Told(json, environment, "ROUTER_DISCOVERY", "discovery"), "discovery");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -41,6 +41,7 @@
   std::string name;
   Address listen{};
   std::optional<Address> console;  // the second address; absent: none is opened
+  std::string runtime_folder;      // TMPDIR; shared with the process that this one replaces, if any
   Address discovery{};
   std::uint64_t seed = 0;
   std::string known;  // the list as this sidecar last held it, in discovery's form
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -1,6 +1,7 @@
 #include "loop/loop.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <charconv>
@@ -101,6 +102,20 @@
   CloseHandle(handle_);
 }
 
+Readable::Readable(Loop& loop, int fd, std::function<void()> come)
+    : fd_(fd), handle_(new Handle{{}, std::move(come)}) {
+  uv_poll_init(loop.raw(), &handle_->uv, fd);
+  handle_->uv.data = handle_;
+  uv_poll_start(&handle_->uv, UV_READABLE | UV_DISCONNECT,
+                [](uv_poll_t* p, int, int) { static_cast<Handle*>(p->data)->come(); });
+}
+
+Readable::~Readable() {
+  uv_poll_stop(&handle_->uv);
+  CloseHandle(handle_);
+  close(fd_);
+}
+
 std::optional<Address> ParseAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
@@ -221,22 +236,55 @@
   handle_ = nullptr;
 }
 
-Listener::Listener(Loop& loop, std::function<void()> come) : handle_(new Handle{{}, std::move(come)}) {
+Listener::Listener(Loop& loop, std::function<void()> come)
+    : loop_(loop), handle_(new Handle{{}, std::move(come)}) {
   uv_tcp_init(loop.raw(), &handle_->uv);
   handle_->uv.data = handle_;
 }
 
-std::string Listener::Listen(const Address& address) {
-  int status = uv_tcp_bind(&handle_->uv, reinterpret_cast<const sockaddr*>(&address), 0);
-  if (status == 0) {
-    status =
-        uv_listen(reinterpret_cast<uv_stream_t*>(&handle_->uv), kBacklog, [](uv_stream_t* s, int failed) {
-          if (failed == 0) static_cast<Handle*>(s->data)->come();
-        });
+int Listener::Start() {
+  return uv_listen(reinterpret_cast<uv_stream_t*>(&handle_->uv), kBacklog, [](uv_stream_t* s, int failed) {
+    if (failed == 0) static_cast<Handle*>(s->data)->come();
+  });
+}
+
+std::string Listener::Listen(const Address& address, bool beside) {
+  int status = 0;
+  if (beside) {
+    const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const int on = 1;
+    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) status = uv_translate_sys_error(errno);
+    if (status == 0) status = uv_tcp_open(&handle_->uv, fd);
+    if (status != 0 && fd >= 0) close(fd);
   }
+  if (status == 0) status = uv_tcp_bind(&handle_->uv, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (status == 0) status = Start();
   return status == 0 ? std::string() : uv_strerror(status);
 }
 
+bool Listener::SaysTaken(const std::string& error) { return error == uv_strerror(UV_EADDRINUSE); }
+
+std::string Listener::Adopt(int fd) {
+  int status = uv_tcp_open(&handle_->uv, fd);
+  if (status != 0) close(fd);
+  if (status == 0) status = Start();
+  return status == 0 ? std::string() : uv_strerror(status);
+}
+
+void Listener::Renew() {
+  auto come = std::move(handle_->come);
+  Close();
+  handle_ = new Handle{{}, std::move(come)};
+  uv_tcp_init(loop_.raw(), &handle_->uv);
+  handle_->uv.data = handle_;
+}
+
+int Listener::fd() const {
+  uv_os_fd_t fd = -1;
+  if (handle_ != nullptr) uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd);
+  return fd;
+}
+
 Address Listener::address() const {
   Address address{};
   int size = sizeof address;
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -90,6 +90,24 @@
   Handle* handle_;
 };
 
+// Owns a descriptor and tells when it can be read; for what is no TCP stream.
+class Readable {
+ public:
+  Readable(Loop& loop, int fd, std::function<void()> come);
+  ~Readable();
+  Readable(const Readable&) = delete;
+  Readable& operator=(const Readable&) = delete;
+  int fd() const { return fd_; }
+
+ private:
+  struct Handle {
+    uv_poll_t uv;
+    std::function<void()> come;
+  };
+  const int fd_;
+  Handle* handle_;
+};
+
 using Address = sockaddr_storage;
 // "10.0.0.4:8081" or "[::1]:8081".
 std::optional<Address> ParseAddress(std::string_view text);
@@ -144,18 +162,26 @@
   ~Listener() { Close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
-  // Returns an empty text, or what went wrong.
-  std::string Listen(const Address& address);
+  // Returns an empty text, or what went wrong. `beside`: others that say so too may listen at the same address.
+  std::string Listen(const Address& address, bool beside = false);
+  static bool SaysTaken(const std::string& error);  // another holds the address
+  // Listens on a socket that does so already; owns it from now on.
+  std::string Adopt(int fd);
+  // A fresh socket after one that could not listen.
+  void Renew();
+  int fd() const;
   Address address() const;
   uv_tcp_t* raw() { return &handle_->uv; }
   bool open() const { return handle_ != nullptr; }
   void Close();
 
  private:
+  int Start();
   struct Handle {
     uv_tcp_t uv;
     std::function<void()> come;
   };
+  Loop& loop_;
   Handle* handle_;
 };
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -226,6 +226,12 @@
   return nullptr;
 }
 
+void RealServers::LimitTo(int descriptors) {
+  limits_.descriptors = descriptors;
+  while (open_ > descriptors && ShedOldest()) {
+  }
+}
+
 bool RealServers::ShedOldest() {
   std::vector<std::unique_ptr<Connection>>* oldest = nullptr;
   for (auto& [server, idle] : idle_) {
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -59,6 +59,8 @@
   void CloseIdle(ServerId server);
   // Closes connections near the end of their idle time.
   void Sweep();
+  // From now on so many connections at most; those at rest over that close.
+  void LimitTo(int descriptors);
   int open() const { return open_; }
 
  private:
@@ -79,7 +81,7 @@
   bool Fresh(const Connection& connection) const;
 
   Loop& loop_;
-  const Limits limits_;
+  Limits limits_;
   Counters& counters_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   int open_ = 0;
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -103,12 +103,6 @@
     log->Say(log::Event::kCounters, "counters: " + sidecar.counters().Print("; "),
              {{"counters", sidecar.counters().Print("; ")}});
   });
-  const std::string address = net::PrintAddress(sidecar.address());
-  log->Say(log::Event::kListening,
-           config.name + " listens on " + address + ", tier " + std::to_string(config.settings.tier),
-           {{"address", address},
-            {"tier", std::int64_t{config.settings.tier}},
-            {"application", config.application}});
   loop.Run();
   log->Say(log::Event::kEnded, config.name + " ends; counters: " + sidecar.counters().Print("; "),
            {{"counters", sidecar.counters().Print("; ")}});
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/sidecar.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <vector>
 
@@ -22,11 +24,14 @@
 // Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery, and those
 // set aside for the console's callers, which nobody else may use.
 constexpr int kOtherDescriptors = 24;
+constexpr int kFewestEdges = 4;
 constexpr int kFewestCallers = 8;
 constexpr int kMostCallers = 24;
 // Clients that are sent away: their connections end with an answer; those that ask nothing are left alone for a
 // while, as a close may cross a request, and closed in time for the notice of two seconds.
 constexpr Span kLeaveAlone = 1s;
+constexpr Span kListWait = 1500ms;    // a process that takes over serves once discovery has told, or after this
+constexpr Span kListenAgain = 50ms;   // while another's process holds the address
 constexpr Span kIdleSweep = 100ms;
 constexpr Span kStillIdle = 300ms;
 
@@ -51,10 +56,11 @@
   return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers);
 }
 
-// Of clients, and as many of real servers.
-int EdgeLimit(const Config& config) {
+// Of clients, and as many of real servers. Two processes of one sidecar hold half of its descriptors each.
+int EdgeLimit(const Config& config, bool shared = false) {
   const int callers = config.console ? MostCallers(config) : kMostCallers;
-  return (config.descriptors - kOtherDescriptors - callers) / 2;
+  const int all = shared ? config.descriptors / 2 : config.descriptors;
+  return std::max((all - kOtherDescriptors - callers) / 2, kFewestEdges);
 }
 
 RealServers::Limits ServerLimits(const Config& config) {
@@ -81,13 +87,12 @@
       relay_(platform_, config_.settings, counters_),
       book_(loop, flows_, platform_, decisions_, tally_, counters_),
       listener_(loop, [this] { AcceptWaiting(); }),
+      edge_limit_(EdgeLimit(config_)),
+      begin_timer_(loop, [this] { BeginServing(); }),
       accept_timer_(loop, [this] { OnRested(); }),
       close_timer_(loop, [this] { CloseEdges(); }),
       idle_timer_(loop, [this] { CloseIdleEdges(); }),
       tick_(loop, [this] { Tick(); }) {
-  if (const std::string error = listener_.Listen(config_.listen); !error.empty()) {
-    throw ConfigError("configuration: listen cannot be listened on: " + error);
-  }
   if (config_.console) {
     console_ = std::make_unique<Console>(loop, *this, counters_, MostCallers(config_));
     if (const std::string error = console_->Listen(*config_.console); !error.empty()) {
@@ -101,11 +106,71 @@
                         [this](const std::string& why) { entry_.Failed(why); }});
   entry_.Take(known.value_or(ListedChange{}), ListUpdate::kCached);
   if (config_.membership) source_->Watch(true);
-  life_.Serve();
+  Begin();
   tick_.Start(kTick);
 }
 
-Sidecar::~Sidecar() = default;
+Sidecar::~Sidecar() {
+  if (inherited_) close(*inherited_);
+}
+
+// With a console the process may be one that replaces another: that one serves until this one can.
+void Sidecar::Begin() {
+  if (!config_.console) return BeginServing();
+  handover_ = std::make_unique<Handover>(
+      loop_, config_.runtime_folder, config_.listen, counters_,
+      Handover::Owner{[this] { return listener_.fd(); }, [this] { Shared(); }});
+  inherited_ = handover_->Ask();
+  if (!inherited_) return BeginServing();
+  log_->Say(Event::kTakingOver, config_.name + " takes over from a process that serves", {});
+  Shared();
+  begin_timer_.Start(kListWait);
+}
+
+void Sidecar::BeginServing() {
+  begin_timer_.Stop();
+  const bool waits = config_.console.has_value();  // there may be a predecessor that knows nothing of all this
+  const std::string error = inherited_ ? listener_.Adopt(*std::exchange(inherited_, std::nullopt))
+                                       : listener_.Listen(config_.listen, waits);
+  if (!error.empty()) {
+    // An address that cannot be had at all is a mistake; one that is taken may be a predecessor's.
+    if (!waits || !Listener::SaysTaken(error)) {
+      throw ConfigError("configuration: listen cannot be listened on: " + error);
+    }
+    log_->Say(Event::kAddressTaken, config_.name + " cannot listen yet: " + error, {{"why", error}});
+    listener_.Renew();
+    begin_timer_.Start(kListenAgain);
+    return;
+  }
+  life_.Serve();
+  const std::string address = PrintAddress(listener_.address());
+  log_->Say(Event::kListening,
+            config_.name + " listens on " + address + ", tier " + std::to_string(config_.settings.tier),
+            {{"address", address},
+             {"tier", std::int64_t{config_.settings.tier}},
+             {"application", config_.application}});
+  if (handover_ == nullptr) return;
+  if (const std::string why = handover_->Offer(); !why.empty()) counters_.Add("handover_not_offered");
+}
+
+// Both processes of a sidecar hold its limits together; half each.
+void Sidecar::Shared() {
+  const bool shared = handover_->shared();
+  edge_limit_ = EdgeLimit(config_, shared);
+  servers_.LimitTo(edge_limit_);
+  ShedTo(edge_limit_);
+  log_->Say(Event::kTakenOver,
+            config_.name + (shared ? " shares its limits with another process" : " has its limits to itself"),
+            {{"serves", handover_->successor()}});
+  if (!handover_->predecessor() && inherited_) BeginServing();  // nobody else takes what waits
+  OnRested();
+}
+
+// Those at rest, or silent, over a limit; what is busy stays.
+void Sidecar::ShedTo(int edges) {
+  while (static_cast<int>(edges_.size()) > edges && ShedOldestEdge()) {
+  }
+}
 
 void Sidecar::Say(const std::string& text) { log_->Say(Event::kModule, "module: " + text, {{"said", text}}); }
 
@@ -121,6 +186,10 @@
               {{"failures", std::int64_t{failures}}});
   }
   decisions_.TellList(change);
+  const bool told = change.kind != ListUpdate::kFailed && change.kind != ListUpdate::kCached;
+  if (told && inherited_) loop_.Post(alive_, [this] {
+      if (inherited_) BeginServing();
+    });
   // What leaves gets nothing new: connections at rest there only hold descriptors.
   for (const ListChange::Entry& entry : change.entries) {
     if (!route_.Open(entry.server)) servers_.CloseIdle(entry.server);
@@ -128,7 +197,7 @@
 }
 
 void Sidecar::AcceptWaiting() {
-  if (static_cast<int>(edges_.size()) >= EdgeLimit(config_) && !ShedOldestEdge()) {
+  if (static_cast<int>(edges_.size()) >= edge_limit_ && !ShedOldestEdge()) {
     accept_waits_ = true;  // it stays in the kernel's queue until a connection can be spared
     accept_timer_.Start(kAcceptAgain);
     return;
@@ -159,7 +228,7 @@
 }
 
 void Sidecar::OnRequest(EdgeConnection& edge, Message message) {
-  std::optional<FlowRequest> request = take_in_(edge, std::move(message), life_.ready(), leaving());
+  std::optional<FlowRequest> request = take_in_(edge, std::move(message), life_.ready() || replaced(), leaving());
   if (!request) return;
   if (Flow* flow = admit_(edge, std::move(*request)); flow != nullptr) decisions_.TellFlow(*flow);
 }
@@ -302,6 +371,7 @@
             config_.name + " was told to end: " + std::to_string(flows_.size()) + " flows are open",
             {{"open_flows", static_cast<std::int64_t>(flows_.size())}});
   source_->Withdraw();
+  if (replaced()) listener_.Close();  // what waits in its queue is the other process's
   kill_at_ = Clock::now() + KillTime(config_.settings);
   close_timer_.Start(ServeOn(config_.settings));
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -19,6 +19,7 @@
 #include "flow/send.h"
 #include "flow/take_in.h"
 #include "flow/tally.h"
+#include "handover/handover.h"
 #include "log/log.h"
 #include "loop/loop.h"
 #include "membership/service_entry.h"
@@ -73,9 +74,15 @@
   void LastCall(FlowId flow);
   void Tick();
   void CloseEdges();
+  void Begin();
+  void BeginServing();
+  void Shared();
+  void ShedTo(int edges);
   void CloseIdleEdges();
   // Connections end with their next answer.
-  bool leaving() const { return closing_ || life_.state() == Life::State::kDrained; }
+  bool leaving() const { return closing_ || replaced() || life_.state() == Life::State::kDrained; }
+  // Told to end while another process of this sidecar takes what comes.
+  bool replaced() const { return life_.state() == Life::State::kEnding && handover_ && handover_->successor(); }
 
   Loop& loop_;
   const Config config_;
@@ -98,12 +105,16 @@
   const Book book_;
   Listener listener_;
   std::unique_ptr<Console> console_;
+  std::unique_ptr<Handover> handover_;
+  std::optional<int> inherited_;  // the predecessor's listening socket, until this process can serve
+  int edge_limit_;
   std::unordered_map<EdgeConnection*, std::unique_ptr<EdgeConnection>> edges_;
   int watch_failures_ = 0;  // in a row
   bool accept_waits_ = false;
   bool closing_ = false;  // told to end, and new connections come no more
   Time kill_at_{};         // the end that is forced where it has not come by itself
   std::function<void()> drained_;
+  Timer begin_timer_;
   Timer accept_timer_;
   Timer close_timer_;
   Timer idle_timer_;
