--- a/include/umberdyke/balancer.h
+++ b/include/umberdyke/balancer.h
@@ -182,14 +182,18 @@
   void OnRequest(Micros now, const Request& request, Actions* out);
   // Unknown requests, attempts, upstreams and timers are disregarded, here and below.
   void OnAttemptEnd(Micros now, const AttemptEnd& end, Actions* out);
+  // A long answer has begun to reach the client: it ends the request, but its end may be a while off.
   void OnStreamStart(Micros now, RequestId request, int attempt, Actions* out);
+  // The request has a long body that is passed on as it comes. Without `time_left`: a part of it has left, so
+  // that it cannot be sent again, and nothing of it is timed; with it: all is out, and its time counts.
+  void OnBody(Micros now, RequestId request, std::optional<Micros> time_left, Actions* out);
   void OnClientGone(Micros now, RequestId request, Actions* out);
   void OnTimer(Micros now, std::uint64_t token, Actions* out);
   // The result of a check that the host made; its report counts like one of an answer.
   void OnCheck(Micros now, UpstreamId upstream, Outcome outcome, const std::optional<LoadReport>& report,
                Actions* out);
 
-  // How many of the listed upstreams it keeps off now: those that drain, are ejected, or that all classes avoid.
+  // How many of the listed upstreams it keeps off now: draining, ejected, or avoided by all classes.
   int Avoided(Micros now) const;
 
  private:
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "umberdyke/balancer.h"
 #include "decide/random.h"
@@ -193,7 +194,21 @@
   }
 
   void StreamStarted(RequestId id) {
-    if (const auto it = held_.find(id); it != held_.end()) it->second.streaming = true;
+    const auto it = held_.find(id);
+    if (it == held_.end() || it->second.attempts.empty()) return;
+    it->second.streaming = true;
+    it->second.begun = now_;
+    SetAside(it->second);
+    Upstream& up = upstreams_[it->second.attempts.back().upstream];
+    up.heard = up.answered = now_;
+  }
+
+  void Body(RequestId id, std::optional<Micros> time_left) {
+    const auto it = held_.find(id);
+    if (it == held_.end()) return;
+    it->second.Pass(now_, time_left);
+    SetAside(it->second);
+    if (time_left) SetTimerIn(std::max<Micros>(1, CheckDelay(it->second)), id);
   }
 
   void ClientLeft(RequestId id) {
@@ -228,12 +243,8 @@
   }
 
   int Avoided(Micros now) const {
-    return static_cast<int>(std::count_if(upstreams_.begin(), upstreams_.end(), [&](const Upstream& up) {
-      if (up.vacant || up.unlisted || up.entry.state == UpstreamState::kGone) return false;
-      const auto out = [&](const Upstream::ClassRecord& c) { return now < c.avoided_until; };
-      return up.entry.state == UpstreamState::kDraining || now < up.ejected_until ||
-             std::all_of(up.classes.begin(), up.classes.end(), out);
-    }));
+    const auto avoided = [now](const Upstream& up) { return up.Avoided(now); };
+    return static_cast<int>(std::count_if(upstreams_.begin(), upstreams_.end(), avoided));
   }
 
  private:
@@ -597,7 +608,7 @@
   // THE predicate of "no effect twice": may this request be sent once more (to its group)?
   bool MaySend(const Held& held) const {
     if (static_cast<int>(held.attempts.size()) >= settings_.max_attempts || held.streaming) return false;
-    if (held.open > 0 && !settings_.parallel_attempts) return false;
+    if (held.once || (held.open > 0 && !settings_.parallel_attempts)) return false;
     const RequestClass& c = ClassOf(held);
     if (c.repeat == Repeat::kSafe || !MayHaveRun(held)) return true;
     if (c.repeat == Repeat::kUnsafe) return false;
@@ -724,20 +735,20 @@
 
   // The request's own timer: an attempt at a silent server is called off or doubled; the deadline is kept.
   void CheckRequest(RequestId id, Held& held) {
-    if (held.streaming) return;
+    if (held.streaming || held.passing) return;
     if (held.open == 0 && now_ >= held.deadline - Guard()) {
       Conclude(id);
       return;
     }
-    if (held.open > 0 && !held.stuck && now_ - held.attempts.back().sent >= StallTime()) {
-      held.stuck = true;  // calls stuck at sick servers must not fill the limit of the others
-      --live_;
-    }
+    if (held.open > 0 && now_ - held.attempts.back().sent >= StallTime()) SetAside(held);
     if (held.open > 0 && Stalled(held.attempts.back())) Rescue(id, held);
     const auto it = held_.find(id);
     if (it != held_.end()) SetTimerIn(std::max<Micros>(settings_.tick, CheckDelay(it->second)), id);
   }
 
+  // Calls stuck at sick servers, and long bodies under way, must not fill the limit of the others.
+  void SetAside(Held& held) { live_ -= std::exchange(held.stuck, true) ? 0 : 1; }
+
   // Silent for long since the attempt went out: two calls out at once, or twice the time, say more than one.
   bool Stalled(const Attempt& a) const {
     const Upstream& up = upstreams_[a.upstream];
@@ -750,7 +761,8 @@
     if (AtFault(held, &Kin::late)) return;
     Eject(upstreams_[attempt.upstream]);
     Avoid(upstreams_[attempt.upstream], held.request.request_class);
-    if (ClassOf(held).repeat == Repeat::kUnsafe || retry_tokens_ < 1 || !TimeForOne(held)) return;
+    if (held.once || ClassOf(held).repeat == Repeat::kUnsafe) return;
+    if (retry_tokens_ < 1 || !TimeForOne(held)) return;
     if (static_cast<int>(held.attempts.size()) >= settings_.max_attempts) return;
     if (MaySend(held)) {  // a second copy
       retry_tokens_ -= 1;
@@ -770,9 +782,12 @@
     }
     live_ -= held.stuck ? 0 : 1;
     std::erase(asking_, id);
+    if (held.passing) return;
+    const Micros ended = held.begun > 0 ? held.begun : now_;
     const bool turned_away = !served && held.open == 0 && !MayHaveRun(held);
-    const double took = static_cast<double>((turned_away ? UsefulUntil(held) : now_) - held.arrived);
-    const bool late = !served && !turned_away && 2 * (now_ - held.arrived) > UsefulUntil(held) - held.arrived;
+    const double took = static_cast<double>((turned_away ? UsefulUntil(held) : ended) - held.arrived);
+    const bool half_gone = 2 * (ended - held.arrived) > UsefulUntil(held) - held.arrived;
+    const bool late = !served && !turned_away && half_gone;
     if (served || late) {
       for (Kin* kin : KinOf(held)) TellKin(*kin, ClassOf(held).aim, late);
     }
@@ -1093,6 +1108,10 @@
   impl_->At(now, out).StreamStarted(request);
 }
 
+void Balancer::OnBody(Micros now, RequestId request, std::optional<Micros> time_left, Actions* out) {
+  impl_->At(now, out).Body(request, time_left);
+}
+
 void Balancer::OnClientGone(Micros now, RequestId r, Actions* out) { impl_->At(now, out).ClientLeft(r); }
 
 void Balancer::OnTimer(Micros now, std::uint64_t token, Actions* out) { impl_->At(now, out).Timer(token); }
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -42,6 +42,14 @@
   bool holder = false;    // stands in holders_
   int gone_windows = 0;   // full windows since it has gone
   bool vacant = false;    // forgotten: its place waits for another
+
+  // Listed, but kept off by every class.
+  bool Avoided(Micros now) const {
+    if (vacant || unlisted || entry.state == UpstreamState::kGone) return false;
+    const auto out = [now](const ClassRecord& c) { return now < c.avoided_until; };
+    return entry.state == UpstreamState::kDraining || now < ejected_until ||
+           std::all_of(classes.begin(), classes.end(), out);
+  }
 };
 
 struct Attempt {
@@ -63,6 +71,9 @@
   int open = 0;
   double let_in = 1;  // chance with which it was let in
   bool streaming = false;
+  Micros begun = 0;      // when it was: a long answer's time ends with its first bytes
+  bool passing = false;  // its long body is under way: nothing is timed
+  bool once = false;     // and none of it is kept, so that it can't be sent again
   bool waiting = false;  // in the queue for a server
   struct Asking {
     std::vector<int> asked;  // servers that were checked for the next attempt
@@ -70,7 +81,16 @@
     int best = kNone;        // the lightest of those that have
     Micros until = 0;        // end of waiting for them; 0: not waiting
   } asking;
-  bool stuck = false;  // out for so long that it says nothing of the load
+  bool stuck = false;  // out for so long, or at such length, that it says nothing of the load
+
+  // Its long body has begun to leave, or is out: then its time begins.
+  void Pass(Micros now, std::optional<Micros> time_left) {
+    once = true;
+    passing = !time_left;
+    if (passing || attempts.empty()) return;
+    arrived = attempts.back().sent = now;
+    deadline = now + *time_left;
+  }
 };
 
 // What came of the requests of one class, or of one tenant, wherever they went.
--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -1,21 +1,34 @@
 #include "edge/edge_connection.h"
 
+#include <algorithm>
+
 namespace umberdyke::net {
 namespace {
 
 using namespace std::chrono_literals;
 
 // A client that sends nothing, or no whole request, has its answer or its end within 3 s of connecting.
-constexpr Span kSlowest = 2500ms;         // for the whole of a request: from the connect or first byte
-constexpr Span kLongestWrite = 10s;       // for a client to read an answer; longer than any waits for one
+constexpr Span kSlowest = 2500ms;         // for a head: from the connect or first byte
+constexpr Span kBodyBegins = 1500ms;      // for a body, and more for each byte of it that has come
+constexpr double kSlowestRate = 32'000;   // bytes a second: half of what the slowest clients do
+constexpr Span kMostCredit = 2500ms;      // but never more than this at once
+constexpr Span kLongestWrite = 10s;       // for a client to read some of an answer
 constexpr Span kLinger = 400ms;           // for the other side to read the last answer and close
-constexpr Span kFirstRequest = 400ms;     // a new connection brings a request by then, or is spared first
+constexpr Span kLingerLong = 2s;          // where it is still sending a body that nobody wants
+constexpr Span kFirstRequest = 400ms;     // a connection brings something by then, or is spared first
 constexpr size_t kMostAhead = 16 * 1024;  // input kept for later while a request is out
 
 }  // namespace
 
-EdgeConnection::EdgeConnection(Loop& loop, EdgeOwner& owner)
-    : loop_(loop), owner_(owner), stream_(loop, this), patience_(loop, [this] { Late(); }) {}
+EdgeConnection::EdgeConnection(Loop& loop, EdgeOwner& owner, PassingRoom& passing)
+    : loop_(loop), owner_(owner), passing_(passing), stream_(loop, this), patience_(loop, [this] { Late(); }) {
+  parser_.PassLongBodies();
+}
+
+EdgeConnection::~EdgeConnection() {
+  if (taking_) passing_.End();
+  if (answering_) passing_.End();
+}
 
 bool EdgeConnection::Accept(Listener& listener) {
   if (!stream_.Accept(listener.raw())) return false;
@@ -30,8 +43,9 @@
 
 void EdgeConnection::OnData(std::string_view bytes) {
   if (state_ == State::kLingering) return;
+  rested_ = Clock::now();
   input_.append(bytes);
-  if (state_ == State::kReading) {
+  if (state_ == State::kReading || state_ == State::kTaking) {
     Advance();
   } else if (input_.size() > kMostAhead) {
     stream_.Pause();
@@ -39,13 +53,26 @@
 }
 
 void EdgeConnection::Advance() {
-  if (state_ != State::kReading || !stream_.open() || input_.empty()) return;
+  const bool takes = state_ == State::kReading || state_ == State::kTaking;
+  if (!takes || !stream_.open() || input_.empty()) return;
   const bool had_begun = parser_.begun();
+  const bool had_head = parser_.head_done();
   size_t used = 0;
   const Parsed parsed = parser_.Feed(input_, &used);
   input_.erase(0, used);
+  if (parsed == Parsed::kMore || parsed == Parsed::kComplete) {
+    if (state_ == State::kTaking || parser_.is_long()) return TakeMore(parsed);
+  }
   if (parsed == Parsed::kMore) {
-    if (!had_begun && parser_.begun() && answered_) patience_.Start(kSlowest);
+    if (parser_.head_done() && !had_head) {
+      slowest_ = Clock::now() + kBodyBegins;
+      Continue();
+    }
+    if (parser_.head_done()) {
+      Credit(used);
+    } else if (!had_begun && parser_.begun() && answered_) {
+      patience_.Start(kSlowest);
+    }
     return;
   }
   patience_.Stop();
@@ -58,25 +85,125 @@
   }
 }
 
-void EdgeConnection::Answer(std::string bytes, bool keep_alive) {
-  if (!stream_.open()) return;
-  closing_ = closing_ || !keep_alive;
-  state_ = State::kWriting;
+// A long body: what one read gave is kept until it is taken, and no more is read over a window.
+void EdgeConnection::TakeMore(Parsed parsed) {
+  const bool first = state_ != State::kTaking;
+  const size_t before = body_.size();
+  Message head;
+  if (first) {
+    head = parser_.TakeHead();
+    if (slowest_ < Clock::now()) slowest_ = Clock::now() + kBodyBegins;
+    state_ = State::kTaking;
+    taking_ = true;
+    passing_.Begin();
+    stream_.KeepQueueShort();
+  }
+  body_ += parser_.TakePiece();
+  if (parsed == Parsed::kComplete) {
+    body_whole_ = true;
+    patience_.Stop();
+    parser_.Take();
+    state_ = State::kBusy;
+  } else if (body_.size() >= passing_.window()) {
+    patience_.Stop();  // it is not the client that waits
+    stream_.Pause();
+  } else {
+    Credit(body_.size() - before);
+  }
+  if (!first) return owner_.OnBody(*this);
+  const bool wants_continue = head.Find("Expect") != nullptr;
+  owner_.OnLongRequest(*this, std::move(head));
+  if (wants_continue && state_ == State::kTaking && !std::exchange(continued_, true)) {
+    stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+// What comes puts the end of patience off, by the time that the slowest may take for it.
+void EdgeConnection::Credit(size_t bytes) {
+  const auto more = std::chrono::duration<double>(static_cast<double>(bytes) / kSlowestRate);
+  const Time now = Clock::now();
+  slowest_ = std::min(std::max(slowest_, now) + std::chrono::duration_cast<Span>(more), now + kMostCredit);
+  patience_.Start(slowest_ - now);
+}
+
+// A client that asks first gets its answer before the body that it holds back.
+void EdgeConnection::Continue() {
+  if (parser_.message().Find("Expect") == nullptr || std::exchange(continued_, true)) return;
+  stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+std::string EdgeConnection::TakeBody() {
+  std::string taken = std::exchange(body_, {});
+  if (state_ == State::kTaking && !taken.empty()) {
+    slowest_ = std::max(slowest_, Clock::now() + kBodyBegins);
+    Credit(0);
+    stream_.Read();
+  }
+  return taken;
+}
+
+bool EdgeConnection::Write(std::string bytes) {
   const Stream::Wrote wrote = stream_.Write(std::move(bytes));
-  if (wrote == Stream::Wrote::kAll) {
-    Finish();
-  } else if (wrote == Stream::Wrote::kLater) {
+  if (wrote == Stream::Wrote::kLater) {
+    unwritten_ = stream_.unwritten();
     patience_.Start(kLongestWrite);
   } else if (wrote == Stream::Wrote::kBroken) {
     loop_.Post(alive_, [this] {
       if (stream_.open()) owner_.OnGone(*this);
     });
   }
+  return wrote == Stream::Wrote::kAll;
+}
+
+void EdgeConnection::Answer(std::string bytes, bool keep_alive) {
+  if (!stream_.open()) return;
+  closing_ = closing_ || !keep_alive || state_ == State::kTaking;
+  state_ = State::kWriting;
+  if (Write(std::move(bytes))) Finish();
+}
+
+bool EdgeConnection::BeginAnswer(std::string head, const Framing& framing, bool keep_alive) {
+  if (!stream_.open()) return false;
+  closing_ = closing_ || !keep_alive;
+  state_ = State::kWriting;
+  framing_ = framing;
+  answering_ = true;
+  passing_.Begin();
+  stream_.KeepQueueShort();
+  return Write(std::move(head));
+}
+
+bool EdgeConnection::AnswerPiece(std::string piece) {
+  if (!stream_.open()) return false;
+  Write(WritePiece(std::move(piece), framing_));
+  return stream_.unwritten() < passing_.window();
+}
+
+void EdgeConnection::EndAnswer() {
+  if (!stream_.open()) return;
+  ending_ = true;
+  const std::string last = WriteLastPiece(framing_);
+  if (!last.empty()) Write(last);
+  if (stream_.unwritten() == 0) Finish();
+}
+
+void EdgeConnection::BreakAnswer() {
+  const bool tells_end = framing_.chunked || framing_.length;
+  if (!tells_end) stream_.Reset();
+  owner_.OnGone(*this);
 }
 
 void EdgeConnection::OnWritten(bool ok) {
   if (!ok) return owner_.OnGone(*this);
-  Finish();
+  if (state_ != State::kWriting) return;
+  if (stream_.unwritten() > 0) {
+    patience_.Start(kLongestWrite);
+  } else if (!answering_ || ending_) {
+    return Finish();
+  } else {
+    patience_.Stop();
+  }
+  if (answering_ && !ending_ && stream_.unwritten() < passing_.window()) owner_.OnRoom(*this);
 }
 
 // A connection that is closed with input unread would take its last answer along: it lingers instead.
@@ -85,11 +212,16 @@
   stream_.Read();
   answered_ = true;
   rested_ = Clock::now();
+  const bool unwanted = taking_ && !body_whole_;
+  if (taking_) passing_.End();
+  if (answering_) passing_.End();
+  taking_ = answering_ = ending_ = continued_ = body_whole_ = false;
+  body_.clear();
   if (closing_) {
     state_ = State::kLingering;
     input_.clear();
     stream_.EndSending();
-    patience_.Start(kLinger);
+    patience_.Start(unwanted ? kLingerLong : kLinger);
     return;
   }
   state_ = State::kReading;
@@ -106,10 +238,15 @@
 }
 
 void EdgeConnection::Late() {
-  if (state_ == State::kLingering || state_ == State::kWriting) return owner_.OnGone(*this);
-  if (state_ != State::kReading) return;
+  if (state_ == State::kLingering) return owner_.OnGone(*this);
+  if (state_ == State::kWriting) {
+    const size_t before = std::exchange(unwritten_, stream_.unwritten());
+    if (unwritten_ >= before) return owner_.OnGone(*this);
+    return patience_.Start(kLongestWrite);  // slowly, but it reads
+  }
+  if (state_ != State::kReading && state_ != State::kTaking) return;
   if (idle()) return owner_.OnGone(*this);  // it never asked for anything
-  state_ = State::kBusy;
+  if (state_ == State::kReading) state_ = State::kBusy;
   closing_ = true;
   owner_.OnSlowInput(*this);
 }
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -1,4 +1,5 @@
-// A client's connection: requests in one at a time, each answered once, in order.
+// A client's connection: requests in one at a time, each answered once, in order. Short bodies are held whole; long
+// ones, of requests and of answers, pass in pieces, and each side is read no faster than the other takes it.
 #ifndef UMBERDYKE_EDGE_EDGE_CONNECTION_H_
 #define UMBERDYKE_EDGE_EDGE_CONNECTION_H_
 
@@ -7,6 +8,7 @@
 
 #include "http1/http.h"
 #include "loop/loop.h"
+#include "passing/room.h"
 
 namespace umberdyke::net {
 
@@ -15,6 +17,11 @@
 class EdgeOwner {
  public:
   virtual void OnRequest(EdgeConnection& edge, Message message) = 0;
+  // The head of a request whose body is long; it follows by TakeBody.
+  virtual void OnLongRequest(EdgeConnection& edge, Message head) = 0;
+  virtual void OnBody(EdgeConnection& edge) = 0;  // more of it has come, or its end
+  // More of the answer that is being passed on may be written.
+  virtual void OnRoom(EdgeConnection& edge) = 0;
   // The input is no request; one answer is due, after which the connection closes.
   virtual void OnBadInput(EdgeConnection& edge, Parsed why) = 0;
   virtual void OnSlowInput(EdgeConnection& edge) = 0;
@@ -29,11 +36,23 @@
 
 class EdgeConnection : public StreamUser {
  public:
-  EdgeConnection(Loop& loop, EdgeOwner& owner);
+  EdgeConnection(Loop& loop, EdgeOwner& owner, PassingRoom& passing);
+  ~EdgeConnection();
 
   bool Accept(Listener& listener);
-  // The one answer to the request that is out.
+  // The one answer to the request that is out; while its body is still coming, the connection ends with it.
   void Answer(std::string bytes, bool keep_alive);
+  // The same in pieces: false where the client lags, then OnRoom follows.
+  bool BeginAnswer(std::string head, const Framing& framing, bool keep_alive);
+  bool AnswerPiece(std::string piece);
+  void EndAnswer();
+  // The answer cannot be finished: the client sees that it is not whole.
+  void BreakAnswer();
+  // What has come of a long body and was not taken yet.
+  std::string TakeBody();
+  bool body_received() const { return body_whole_; }
+  bool body_whole() const { return body_whole_ && body_.empty(); }  // and taken
+
   // Closes between requests: now, or after the answer that is due.
   void CloseWhenIdle();
   void Close() { stream_.Close(); }
@@ -42,29 +61,44 @@
   bool spare() const { return answered_ && idle(); }
   // Has brought no whole request though it had the time for it: the first to be closed under pressure.
   bool silent() const;
-  Time rested() const { return rested_; }
-  std::uint64_t flow = 0;  // the owner's note of the request that is out
+  bool began() const { return answered_ || parser_.begun(); }
+  Time rested() const { return rested_; }  // since when nothing has come from it
+  std::uint64_t flow = 0;                  // the owner's note of the request that is out
 
  private:
-  enum class State { kReading, kBusy, kWriting, kLingering };
+  enum class State { kReading, kTaking, kBusy, kWriting, kLingering };
 
   void OnData(std::string_view bytes) override;
   void OnEnd() override { owner_.OnGone(*this); }
   void OnWritten(bool ok) override;
   void Advance();
+  void TakeMore(Parsed parsed);
+  void Credit(size_t bytes);
+  void Continue();
   void Finish();
   void Late();
+  bool Write(std::string bytes);
 
   Loop& loop_;
   EdgeOwner& owner_;
+  PassingRoom& passing_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   Stream stream_;
   HttpParser parser_{HttpParser::Kind::kRequest};
   State state_ = State::kReading;
   std::string input_;  // what came and is not parsed yet
+  std::string body_;   // of a long one, not taken yet
+  bool body_whole_ = false;
+  bool taking_ = false;     // a long body counts among the transfers
+  bool answering_ = false;  // and so does a long answer
+  bool ending_ = false;     // all of which has been given
+  bool continued_ = false;
+  Framing framing_;
+  size_t unwritten_ = 0;  // when it was last looked at
   bool closing_ = false;
   bool answered_ = false;
   Time rested_ = Clock::now();
+  Time slowest_{};  // for the rest of the request's body
   Timer patience_;
 };
 
--- a/src/flow/admit.cpp
+++ b/src/flow/admit.cpp
@@ -22,12 +22,19 @@
   }
   Flow& flow = flows_.Add(std::move(request));
   flow.edge = &edge;
-  flow.taken = Clock::now();
-  flow.deadline = flow.taken + flow.request.time_left - kTransit;
   edge.flow = flow.id;
   flow.last_call = std::make_unique<Timer>(loop_, [this, id = flow.id] { last_call_(id); });
-  flow.last_call->Start(std::max<Span>(flow.deadline - kLastCall - flow.taken, 0ms));
+  flow.taking = flow.request.long_body;
+  flow.deadline = Clock::now() + flow.request.time_left;
+  if (!flow.taking) Taken(flow);
   return &flow;
 }
 
+void Admit::Taken(Flow& flow) const {
+  flow.taking = false;
+  flow.taken = Clock::now();
+  flow.deadline = flow.taken + flow.request.time_left - kTransit;
+  flow.last_call->Start(std::max<Span>(flow.deadline - kLastCall - flow.taken, 0ms));
+}
+
 }  // namespace umberdyke::net
--- a/src/flow/admit.h
+++ b/src/flow/admit.h
@@ -19,8 +19,10 @@
         counters_(counters),
         last_call_(std::move(last_call)),
         refused_(std::move(refused)) {}
+  // The time of a flow with a long body begins with Taken, others' at once.
   // Null where another open flow has the request's id: that one is answered here.
   Flow* operator()(EdgeConnection& edge, FlowRequest request) const;
+  void Taken(Flow& flow) const;
 
  private:
   Loop& loop_;
--- a/src/flow/decisions.cpp
+++ b/src/flow/decisions.cpp
@@ -141,6 +141,20 @@
   Queue([end](Balancer& b, Micros at, Actions* out) { b.OnAttemptEnd(at, end, out); });
 }
 
+void Decisions::TellAnswerBegun(FlowId flow, int attempt) {
+  Queue([=](Balancer& b, Micros at, Actions* out) { b.OnStreamStart(at, flow, attempt, out); });
+}
+
+void Decisions::TellBodyBegun(FlowId flow) {
+  Queue([flow](Balancer& b, Micros at, Actions* out) { b.OnBody(at, flow, std::nullopt, out); });
+}
+
+void Decisions::TellBodyOut(const Flow& flow) {
+  Queue([id = flow.id, deadline = flow.deadline](Balancer& b, Micros at, Actions* out) {
+    b.OnBody(at, id, std::max<Micros>(0, Count(deadline - Clock::now())), out);
+  });
+}
+
 void Decisions::TellGone(FlowId flow) {
   Queue([flow](Balancer& b, Micros at, Actions* out) { b.OnClientGone(at, flow, out); });
 }
--- a/src/flow/decisions.h
+++ b/src/flow/decisions.h
@@ -53,6 +53,10 @@
   int Avoided() const { return balancer_->Avoided(ToMicros(Clock::now())); }
   void TellList(const ListChange& change);
   void TellFlow(const Flow& flow);
+  // A long answer has begun; a long body has begun to leave; its last byte is out.
+  void TellAnswerBegun(FlowId flow, int attempt);
+  void TellBodyBegun(FlowId flow);
+  void TellBodyOut(const Flow& flow);
   void TellAttempt(const AttemptReport& report);
   void TellGone(FlowId flow);
   void TellCheck(ServerId server, Outcome outcome, const std::optional<LoadReport>& load);
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -2,6 +2,7 @@
 #ifndef UMBERDYKE_FLOW_FLOW_H_
 #define UMBERDYKE_FLOW_FLOW_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
@@ -31,6 +32,11 @@
   int attempts = 0;
   int open = 0;               // attempts in flight
   bool may_have_run = false;  // an attempt ended in a way that does not prove the contrary
+  bool taking = false;     // its long body is still coming
+  bool body_left = false;  // and some of it has gone on to a server: it can't be sent again
+  bool body_sent = false;
+  Span wait{};             // of the attempt that is out, from its last byte on
+  bool passing = false;    // its long answer has begun to reach the client
   int unfit = 0;              // the status with which a real server found the request itself at fault
   std::unique_ptr<Timer> last_call;
 };
@@ -56,6 +62,11 @@
     return std::move(node.mapped());
   }
   size_t size() const { return flows_.size(); }
+  // Those whose request has come whole.
+  size_t taken() const {
+    return static_cast<size_t>(
+        std::count_if(flows_.begin(), flows_.end(), [](const auto& f) { return !f.second->taking; }));
+  }
 
  private:
   FlowId last_ = 0;
--- a/src/flow/relay.cpp
+++ b/src/flow/relay.cpp
@@ -14,6 +14,31 @@
   return Ending::kServed;
 }
 
+bool Relay::Begin(Flow& flow, const Message& head, bool draining) const {
+  INVARIANT(flow.state != Flow::State::kAnswered && !flow.taking, counters_);
+  counters_.Add("flows_served_long");
+  flow.state = Flow::State::kAnswered;
+  flow.passing = true;
+  flow.last_call->Stop();
+  const Framing framing = Platform::FramingOf(head, flow.request.message.takes_chunks);
+  const bool keep = KeepAlive(flow, draining) && (framing.length || framing.chunked);
+  return flow.edge->BeginAnswer(platform_.ServedHead(head, framing, keep), framing, keep);
+}
+
+Ending Relay::Finish(Flow& flow) const {
+  counters_.Add("flows_served");
+  flow.edge->flow = 0;
+  flow.edge->EndAnswer();
+  return Ending::kServed;
+}
+
+Ending Relay::Break(Flow& flow) const {
+  counters_.Add("flows_broken");
+  flow.edge->flow = 0;
+  flow.edge->BreakAnswer();
+  return Ending::kFailed;
+}
+
 // A refusal tells the client that it may send the request anew: a second effect, if this one had one.
 bool Relay::MayTurnDown(const Flow& flow) const {
   if (!flow.may_have_run && flow.open == 0) return true;
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -1,5 +1,8 @@
 #include "flow/send.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace umberdyke::net {
 
 void SendOut::operator()(Flow& flow, int attempt, const Routed& routed) {
@@ -9,17 +12,60 @@
   counters_.Add("attempts_sent");
   const std::pair<FlowId, int> key(flow.id, attempt);
   const auto wait = std::chrono::floor<std::chrono::milliseconds>(routed.wait);
-  const ExchangeId exchange = servers_.Start(
-      routed.server, routed.address, platform_.RequestFor(flow.request, wait), routed.wait,
-      {[this, server = routed.server] { return route_.Open(server); }, [this] { tally_.Dispatched(); },
-       [this, key, server = routed.server](ExchangeEnd end) {
-         attempts_.erase(key);
-         const Outcome outcome = OutcomeOf(end);
-         done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
-       }});
+  const bool fed = flow.request.long_body;
+  INVARIANT(!flow.body_left, counters_);
+  flow.wait = routed.wait;
+  ExchangeEvents events;
+  events.may_begin = [this, server = routed.server] { return route_.Open(server); };
+  events.sent = [this, id = flow.id, fed] { Sent(id, fed); };
+  if (fed) events.room = [this, id = flow.id] { passing_.room(id); };
+  events.answer = [this, key](const Message& head) { passing_.answer(key.first, key.second, head); };
+  events.piece = [this, key](std::string piece) {
+    passing_.piece(key.first, key.second, std::move(piece));
+  };
+  events.done = [this, key, server = routed.server](ExchangeEnd end) {
+    attempts_.erase(key);
+    const Outcome outcome = OutcomeOf(end);
+    done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
+  };
+  const std::string request = platform_.RequestFor(flow.request, wait);
+  const ExchangeId exchange =
+      servers_.Start(routed.server, routed.address, request, routed.wait, std::move(events), fed);
   attempts_[key] = {exchange, routed.server, Clock::now()};
 }
 
+void SendOut::Sent(FlowId flow, bool fed) {
+  tally_.Dispatched();
+  if (fed) passing_.body_ends(flow);
+}
+
+const SendOut::Attempt* SendOut::AttemptOf(const Flow& flow) const {
+  const auto it = attempts_.find({flow.id, flow.attempts - 1});
+  return it == attempts_.end() ? nullptr : &it->second;
+}
+
+void SendOut::Pump(Flow& flow) {
+  const Attempt* attempt = AttemptOf(flow);
+  if (attempt == nullptr || flow.body_sent || !servers_.HasRoom(attempt->exchange)) return;
+  const Framing framing = Platform::FramingOf(flow.request.message, true);
+  if (std::string piece = flow.edge->TakeBody(); !piece.empty()) {
+    if (!std::exchange(flow.body_left, true)) passing_.body_begins(flow.id);
+    servers_.Feed(attempt->exchange, WritePiece(std::move(piece), framing));
+  }
+  if (flow.taking || !flow.edge->body_whole()) return;
+  flow.body_sent = true;
+  servers_.Feed(attempt->exchange, WriteLastPiece(framing));
+  servers_.EndFeed(attempt->exchange, std::min<Span>(flow.wait, flow.deadline - Clock::now()));
+}
+
+void SendOut::Pause(const Flow& flow) {
+  if (const Attempt* attempt = AttemptOf(flow); attempt != nullptr) servers_.PauseAnswer(attempt->exchange);
+}
+
+void SendOut::Resume(const Flow& flow) {
+  if (const Attempt* attempt = AttemptOf(flow); attempt != nullptr) servers_.ResumeAnswer(attempt->exchange);
+}
+
 void SendOut::Cancel(FlowId flow, int attempt) {
   const auto it = attempts_.find({flow, attempt});
   if (it == attempts_.end()) return;
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -27,17 +27,30 @@
 class SendOut {
  public:
   using Done = std::function<void(AttemptResult)>;
+  struct Passing {
+    std::function<void(FlowId)> room;         // for more of a long body
+    std::function<void(FlowId)> body_begins;  // a piece of a long body has left: it is not kept
+    std::function<void(FlowId)> body_ends;    // its last byte is written
+    std::function<void(FlowId, int attempt, const Message& head)> answer;
+    std::function<void(FlowId, int attempt, std::string piece)> piece;
+  };
   SendOut(RealServers& servers, const Route& route, const Platform& platform, Tally& tally,
-          Counters& counters, bool copies, Done done)
+          Counters& counters, bool copies, Done done, Passing passing)
       : servers_(servers),
         route_(route),
         platform_(platform),
         tally_(tally),
         counters_(counters),
         copies_(copies),
-        done_(std::move(done)) {}
+        done_(std::move(done)),
+        passing_(std::move(passing)) {}
 
   void operator()(Flow& flow, int attempt, const Routed& routed);
+  // More of a long body has come, or its attempt has room for more.
+  void Pump(Flow& flow);
+  // The client reads its long answer too slowly, or has caught up.
+  void Pause(const Flow& flow);
+  void Resume(const Flow& flow);
   // Ends the attempt at once; nothing for one that is over.
   void Cancel(FlowId flow, int attempt);
   size_t open() const { return attempts_.size(); }
@@ -49,6 +62,8 @@
     ServerId server;
     Time sent;
   };
+  const Attempt* AttemptOf(const Flow& flow) const;
+  void Sent(FlowId flow, bool fed);
   RealServers& servers_;
   const Route& route_;
   const Platform& platform_;
@@ -56,6 +71,7 @@
   Counters& counters_;
   const bool copies_;  // two attempts of one flow may be in flight together
   const Done done_;
+  const Passing passing_;
   std::map<std::pair<FlowId, int>, Attempt> attempts_;
 };
 
--- a/src/flow/take_in.cpp
+++ b/src/flow/take_in.cpp
@@ -2,10 +2,10 @@
 
 namespace umberdyke::net {
 
-std::optional<FlowRequest> TakeIn::operator()(EdgeConnection& edge, Message message, bool ready,
-                                              bool leaving) const {
+std::optional<FlowRequest> TakeIn::operator()(EdgeConnection& edge, Message message, bool long_body,
+                                              bool ready, bool leaving) const {
   const bool keep_alive = message.keep_alive && !leaving;
-  auto read = platform_.ReadRequest(std::move(message));
+  auto read = platform_.ReadRequest(std::move(message), long_body);
   if (auto* request = std::get_if<FlowRequest>(&read)) {
     counters_.Add("flows_taken");
     return std::move(*request);
--- a/src/flow/take_in.h
+++ b/src/flow/take_in.h
@@ -19,7 +19,8 @@
       : platform_(platform), counters_(counters), refused_(std::move(refused)) {}
   // Nothing where the message was answered here: the sidecar's own pages and bad requests. `ready` is what the
   // page of that name says; `leaving` connections end with their next answer.
-  std::optional<FlowRequest> operator()(EdgeConnection& edge, Message message, bool ready, bool leaving) const;
+  std::optional<FlowRequest> operator()(EdgeConnection& edge, Message message, bool long_body, bool ready,
+                                        bool leaving) const;
   void Refuse(EdgeConnection& edge, Parsed why) const;
   void RefuseSlow(EdgeConnection& edge) const;
 
--- a/src/http1/http.cpp
+++ b/src/http1/http.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 
 namespace umberdyke::net {
 namespace {
@@ -63,11 +64,13 @@
   };
   s.on_header_field = [](http_parser* p, const char* at, size_t n) {
     HttpParser& self = Of(p);
+    if (self.head_done_) return self.TakeText(&self.trailer_, at, n);
     if (self.in_value_ || self.message_.headers.empty()) self.message_.headers.emplace_back();
     self.in_value_ = false;
     return self.TakeText(&self.message_.headers.back().name, at, n);
   };
   s.on_header_value = [](http_parser* p, const char* at, size_t n) {
+    if (Of(p).head_done_) return Of(p).TakeText(&Of(p).trailer_, at, n);
     Of(p).in_value_ = true;
     return Of(p).TakeText(&Of(p).message_.headers.back().value, at, n);
   };
@@ -92,10 +95,12 @@
     sink_({at, length});
     return 0;
   }
-  if (message_.body.size() + length > kMostBody) {
+  body_bytes_ += length;
+  if (body_bytes_ > (passes_long_ ? kMostPassed : kMostBody)) {
     failure_ = Parsed::kBodyTooLong;
     return 1;
   }
+  long_ = long_ || body_bytes_ > kMostBody;
   message_.body.append(at, length);
   return 0;
 }
@@ -125,12 +130,16 @@
   message_.status = kind_ == Kind::kResponse ? static_cast<int>(parser_.status_code) : 0;
   if (kind_ == Kind::kRequest) message_.method = http_method_str(static_cast<http_method>(parser_.method));
   message_.keep_alive = http_should_keep_alive(&parser_) != 0;
+  message_.takes_chunks = parser_.http_major > 1 || (parser_.http_major == 1 && parser_.http_minor >= 1);
+  const bool told = (parser_.flags & F_CONTENTLENGTH) != 0;
+  if (told) message_.length = parser_.content_length;
   head_done_ = true;
   // A length that is announced too long need not be waited for.
-  if (!sink_ && (parser_.flags & F_CONTENTLENGTH) != 0 && parser_.content_length > kMostBody) {
+  if (!sink_ && told && parser_.content_length > (passes_long_ ? kMostPassed : kMostBody)) {
     failure_ = Parsed::kBodyTooLong;
     return -1;
   }
+  long_ = !sink_ && told && parser_.content_length > kMostBody;
   return 0;
 }
 
@@ -156,6 +165,19 @@
   return Finish(*used, bytes.size());
 }
 
+Parsed HttpParser::FeedEnd() {
+  size_t used = 0;
+  const Parsed parsed = Feed({}, &used);
+  return parsed == Parsed::kMore ? Parsed::kMalformed : parsed;
+}
+
+Message HttpParser::TakeHead() {
+  std::string piece = TakePiece();
+  Message head = std::exchange(message_, {});
+  message_.body = std::move(piece);
+  return head;
+}
+
 Parsed HttpParser::Finish(size_t used, size_t given) {
   if (failure_ != Parsed::kMore) return failure_;
   if (complete_) return Parsed::kComplete;
@@ -169,27 +191,66 @@
   Message message = std::move(message_);
   message_ = Message();
   http_parser_init(&parser_, kind_ == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
-  head_bytes_ = 0;
+  trailer_.clear();
+  head_bytes_ = body_bytes_ = 0;
+  long_ = false;
   interim_ = 0;
   begun_ = in_value_ = head_done_ = complete_ = false;
   failure_ = Parsed::kMore;
   return message;
 }
 
-std::string WriteAnswer(int status, const std::vector<Header>& headers, std::string_view body,
-                        bool keep_alive) {
+namespace {
+
+std::string AnswerStart(int status, const std::vector<Header>& headers, bool keep_alive) {
   std::string out = "HTTP/1.1 " + std::to_string(status) + " " + ReasonOf(status) + "\r\n";
   AppendHeaders(headers, &out);
   if (!keep_alive) out += "Connection: close\r\n";
-  out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-  return out.append(body);
+  return out;
 }
 
-std::string WriteRequest(std::string_view method, std::string_view target, const std::vector<Header>& headers,
-                         std::string_view body) {
+std::string RequestStart(std::string_view method, std::string_view target,
+                         const std::vector<Header>& headers) {
   std::string out;
   out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
   AppendHeaders(headers, &out);
+  return out;
+}
+
+std::string FramingHeader(const Framing& framing) {
+  if (framing.length) return "Content-Length: " + std::to_string(*framing.length) + "\r\n\r\n";
+  return framing.chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n";
+}
+
+}  // namespace
+
+std::string WriteAnswerHead(int status, const std::vector<Header>& headers, const Framing& framing,
+                            bool keep_alive) {
+  return AnswerStart(status, headers, keep_alive) + FramingHeader(framing);
+}
+
+std::string WriteRequestHead(std::string_view method, std::string_view target,
+                             const std::vector<Header>& headers, const Framing& framing) {
+  return RequestStart(method, target, headers) + FramingHeader(framing);
+}
+
+std::string WritePiece(std::string piece, const Framing& framing) {
+  if (!framing.chunked || piece.empty()) return piece;  // an empty chunk would be the last one
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+  return size + piece + "\r\n";
+}
+
+std::string WriteLastPiece(const Framing& framing) { return framing.chunked ? "0\r\n\r\n" : ""; }
+
+std::string WriteAnswer(int status, const std::vector<Header>& headers, std::string_view body,
+                        bool keep_alive) {
+  return WriteAnswerHead(status, headers, {body.size(), false}, keep_alive).append(body);
+}
+
+std::string WriteRequest(std::string_view method, std::string_view target, const std::vector<Header>& headers,
+                         std::string_view body) {
+  std::string out = RequestStart(method, target, headers);
   if (!body.empty() || method == "POST") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return out.append("\r\n").append(body);
 }
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -1,5 +1,6 @@
 #include "loop/loop.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -146,7 +147,7 @@
   return std::string(name) + ":" + std::to_string(ntohs(four->sin_port));
 }
 
-Stream::Stream(Loop& loop, StreamUser* user) : handle_(new Handle{{}, &loop, user}) {
+Stream::Stream(Loop& loop, StreamUser* user) : handle_(new Handle{{}, &loop, user, false}) {
   uv_tcp_init(loop.raw(), &handle_->uv);
   handle_->uv.data = handle_;
 }
@@ -183,6 +184,7 @@
         if (user == nullptr || count == 0) return;
         if (count < 0) {
           uv_read_stop(s);
+          static_cast<Handle*>(s->data)->ended_well = count == UV_EOF;
           user->OnEnd();
         } else {
           user->OnData({buffer->base, static_cast<size_t>(count)});
@@ -221,6 +223,26 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+size_t Stream::unwritten() const {
+  return handle_ == nullptr ? 0 : uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&handle_->uv));
+}
+
+void Stream::KeepQueueShort() {
+  uv_os_fd_t fd = -1;
+  const int most = 64 * 1024;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0) {
+    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &most, sizeof most);  // a kernel without it only holds more
+  }
+}
+
+void Stream::Reset() {
+  if (handle_ == nullptr) return;
+  handle_->user = nullptr;
+  Handle* const handle = std::exchange(handle_, nullptr);
+  const auto gone = [](uv_handle_t* h) { delete static_cast<Handle*>(h->data); };
+  if (uv_tcp_close_reset(&handle->uv, gone) != 0) CloseHandle(handle);
+}
+
 void Stream::EndSending() {
   auto request = std::make_unique<uv_shutdown_t>();
   const int status =
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -141,6 +141,13 @@
   enum class Wrote { kAll, kLater, kBroken };
   Wrote Write(std::string bytes);
   void EndSending();
+  size_t unwritten() const;  // bytes given to Write that wait here
+  // Long transfers: the kernel holds little that it has not sent, so that a slow reader is soon felt.
+  void KeepQueueShort();
+  // The other side has closed as it should; told with OnEnd.
+  bool ended_well() const { return handle_ != nullptr && handle_->ended_well; }
+  // Closes so that the other side can tell it from an end.
+  void Reset();
   // Nothing waits to be read, and the other side has not closed.
   bool Quiet() const;
   void Close();
@@ -151,6 +158,7 @@
     uv_tcp_t uv;
     Loop* loop;
     StreamUser* user;
+    bool ended_well = false;
   };
   Handle* handle_;
 };
--- /dev/null
+++ b/src/passing/room.h
@@ -0,0 +1,39 @@
+// How many bytes the transfers that are under way may hold between them. Pure.
+//
+// A transfer is one long body in one direction. Each has a window: the side that reads stops while that much
+// waits to be written. All windows together hold a quarter of the memory, and one is never too small to work with.
+#ifndef UMBERDYKE_PASSING_ROOM_H_
+#define UMBERDYKE_PASSING_ROOM_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace umberdyke::net {
+
+class PassingRoom {
+ public:
+  static constexpr size_t kLargestWindow = 64 * 1024;
+  static constexpr size_t kSmallestWindow = 8 * 1024;
+
+  explicit PassingRoom(std::int64_t memory) : memory_(static_cast<size_t>(memory)) {}
+
+  void Begin() { ++transfers_; }
+  void End() { transfers_ -= transfers_ > 0 ? 1 : 0; }
+  size_t transfers() const { return transfers_; }
+  // Two processes of one sidecar have half each.
+  void Share(bool shared) { shared_ = shared; }
+  size_t window() const {
+    const size_t all = memory_ / (shared_ ? 8 : 4);
+    return std::clamp(all / std::max<size_t>(1, transfers_), kSmallestWindow, kLargestWindow);
+  }
+
+ private:
+  const size_t memory_;
+  size_t transfers_ = 0;
+  bool shared_ = false;
+};
+
+}  // namespace umberdyke::net
+
+#endif  // UMBERDYKE_PASSING_ROOM_H_
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -115,15 +115,15 @@
 
 }  // namespace
 
-std::variant<FlowRequest, BadRequest, Page> Platform::ReadRequest(Message message) const {
+std::variant<FlowRequest, BadRequest, Page> Platform::ReadRequest(Message message, bool long_body) const {
   const std::string* name = message.Find(kClass);
   const auto request_class = name ? NumberOf(config_.class_names, *name) : std::nullopt;
-  auto read = ReadRequest(std::move(message), request_class);
+  auto read = ReadRequest(std::move(message), long_body, request_class);
   if (auto* bad = std::get_if<BadRequest>(&read)) bad->request_class = request_class;
   return read;
 }
 
-std::variant<FlowRequest, BadRequest, Page> Platform::ReadRequest(Message message,
+std::variant<FlowRequest, BadRequest, Page> Platform::ReadRequest(Message message, bool long_body,
                                                                   std::optional<int> request_class) const {
   if (message.target == kReady || message.target == kCounters) {
     if (message.method != "GET") return BadRequest{400, "this page takes GET"};
@@ -161,7 +161,7 @@
   if (message.method != (repeat == Repeat::kSafe ? "GET" : "POST")) {
     return BadRequest{400, "the class does not take this method"};
   }
-  if (message.method == "GET" && !message.body.empty()) {
+  if (message.method == "GET" && (long_body || !message.body.empty())) {
     return BadRequest{400, "a request that is safe to repeat has no body"};
   }
   if (repeat == Repeat::kKeyed && (message.Find(kKey) == nullptr || message.Find(kKey)->empty())) {
@@ -170,6 +170,7 @@
   const std::string* retried = message.Find(kRetried);
   request.client_retry = retried != nullptr && *retried == "1";
   request.expected_work = ExpectedWork(message.Find(kFigures));
+  request.long_body = long_body;
   request.message = std::move(message);
   return request;
 }
@@ -180,7 +181,11 @@
     if (!IsHopHeader(header.name) && !SameName(header.name, kTime)) headers.push_back(header);
   }
   headers.push_back({kTime, std::to_string(wait.count())});
-  return WriteRequest(request.message.method, request.message.target, headers, request.message.body);
+  const Message& message = request.message;
+  if (request.long_body) {
+    return WriteRequestHead(message.method, message.target, headers, FramingOf(message, true));
+  }
+  return WriteRequest(message.method, message.target, headers, message.body);
 }
 
 Outcome Platform::OutcomeOf(const Message& answer) {
@@ -217,12 +222,28 @@
   return report;
 }
 
-std::string Platform::ServedAnswer(const Message& answer, bool keep_alive) const {
+Framing Platform::FramingOf(const Message& message, bool takes_chunks) {
+  return {message.length, !message.length && takes_chunks};
+}
+
+namespace {
+
+std::vector<Header> PassedOn(const Message& answer) {
   std::vector<Header> headers;
   for (const Header& header : answer.headers) {
     if (!IsHopHeader(header.name) && !SameName(header.name, kLoad)) headers.push_back(header);
   }
-  return WriteAnswer(200, headers, answer.body, keep_alive);
+  return headers;
+}
+
+}  // namespace
+
+std::string Platform::ServedHead(const Message& head, const Framing& framing, bool keep_alive) const {
+  return WriteAnswerHead(200, PassedOn(head), framing, keep_alive);
+}
+
+std::string Platform::ServedAnswer(const Message& answer, bool keep_alive) const {
+  return WriteAnswer(200, PassedOn(answer), answer.body, keep_alive);
 }
 
 std::string Platform::TurnDownAnswer(std::chrono::microseconds retry_after, bool keep_alive) {
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -19,7 +19,8 @@
 // A request as the chain knows it; `message` holds what passes on unchanged.
 struct FlowRequest {
   Message message;
-  std::string id;  // the client's own
+  std::string id;          // the client's own
+  bool long_body = false;  // which is not in the message, but follows
   int request_class = 0;
   int tenant = 0;
   std::chrono::milliseconds time_left{};
@@ -59,12 +60,17 @@
  public:
   explicit Platform(const Config& config) : config_(config) {}
 
-  std::variant<FlowRequest, BadRequest, Page> ReadRequest(Message message) const;
+  // `long_body`: the message is a head, whose body follows.
+  std::variant<FlowRequest, BadRequest, Page> ReadRequest(Message message, bool long_body = false) const;
+  // The request as it goes out: whole, or its head where the body follows.
   std::string RequestFor(const FlowRequest& request, std::chrono::milliseconds wait) const;
   // What an answer means; 200 counts only whole, which the reader sees to.
   static Outcome OutcomeOf(const Message& answer);
   std::optional<LoadReport> ReportIn(const Message& answer) const;
 
+  // How the body of a message goes on: by its length, or in chunks where the receiver takes them.
+  static Framing FramingOf(const Message& message, bool takes_chunks);
+  std::string ServedHead(const Message& head, const Framing& framing, bool keep_alive) const;
   std::string ServedAnswer(const Message& answer, bool keep_alive) const;
   static std::string TurnDownAnswer(std::chrono::microseconds retry_after, bool keep_alive);
   static std::string FailedAnswer(bool in_time, bool keep_alive);
@@ -84,7 +90,7 @@
   static std::string MemberText(const Config& config);
 
  private:
-  std::variant<FlowRequest, BadRequest, Page> ReadRequest(Message message,
+  std::variant<FlowRequest, BadRequest, Page> ReadRequest(Message message, bool long_body,
                                                           std::optional<int> request_class) const;
   std::optional<LoadReport> ReadReport(std::string_view json) const;
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -10,13 +10,17 @@
 
 namespace {
 
-constexpr Span kLongestAnswer = 250ms;  // from an answer's first byte to its last: 64 KiB at most
+constexpr Span kSilence = 250ms;     // within an answer that is held whole: what goes on longer is spoilt
+constexpr Span kHoldBack = 100ms;    // for the end of an answer of unknown length, before it is passed on
+constexpr Span kNoProgress = 10s;    // of a long body, in either direction
 
 }  // namespace
 
 struct RealServers::Connection : StreamUser {
   Connection(RealServers& o, ServerId s, const Address& a)
-      : owner(o), server(s), address(a), stream(o.loop_, this), parser(HttpParser::Kind::kResponse) {}
+      : owner(o), server(s), address(a), stream(o.loop_, this), parser(HttpParser::Kind::kResponse) {
+    parser.PassLongBodies();
+  }
 
   void OnConnected(bool ok) override { owner.Connected(*this, ok); }
   void OnData(std::string_view bytes) override { owner.Data(*this, bytes); }
@@ -29,6 +33,8 @@
   Stream stream;
   HttpParser parser;
   Exchange* exchange = nullptr;  // null: at rest
+  bool kept_alive = false;       // by a long answer, whose head is gone
+  bool excess = false;           // more came than was asked for
   Time rested{};
 };
 
@@ -43,21 +49,31 @@
   bool connecting = false;
   bool written = false;
   bool answering = false;  // some of the answer has come
+  bool fed = false;        // the body comes in pieces
+  bool fed_whole = false;  // and all of it has been given
+  bool passing = false;    // the answer goes on in pieces
+  bool paused = false;     // its reader lags
+  bool holding = false;    // it may yet turn out short
+  Span time_out{};         // of a body that is fed: from its end on
+  Span took{};             // of a long answer
+  Message head;            // of that
   std::unique_ptr<Connection> connection;
   Timer timer;
 };
 
-RealServers::RealServers(Loop& loop, const Limits& limits, Counters& counters)
-    : loop_(loop), limits_(limits), counters_(counters) {}
+RealServers::RealServers(Loop& loop, const Limits& limits, PassingRoom& passing, Counters& counters)
+    : loop_(loop), limits_(limits), passing_(passing), counters_(counters) {}
 
 RealServers::~RealServers() = default;
 
 ExchangeId RealServers::Start(ServerId server, const Address& address, std::string request, Span time_out,
-                              ExchangeEvents events) {
+                              ExchangeEvents events, bool fed) {
   const ExchangeId id = ++last_;
   Exchange& exchange = *(exchanges_[id] = std::make_unique<Exchange>(*this, id));
   exchange.request = std::move(request);
   exchange.events = std::move(events);
+  exchange.fed = fed;
+  if (fed) passing_.Begin();
   exchange.started = Clock::now();
   exchange.until = exchange.started + time_out;
   const auto end_later = [this, id](How how) {
@@ -95,18 +111,71 @@
 
 void RealServers::Begin(Exchange& exchange) {
   const Stream::Wrote wrote = exchange.connection->stream.Write(std::move(exchange.request));
-  if (wrote == Stream::Wrote::kAll) Sent(exchange);
-  if (wrote != Stream::Wrote::kBroken) return;
-  loop_.Post(alive_, [this, id = exchange.id] {
-    if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, How::kNotConnected);
-  });
+  if (wrote == Stream::Wrote::kBroken) {
+    loop_.Post(alive_, [this, id = exchange.id] {
+      if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, How::kNotConnected);
+    });
+  } else if (exchange.fed) {
+    exchange.connection->stream.KeepQueueShort();
+    exchange.timer.Start(kNoProgress);
+    loop_.Post(alive_, [this, id = exchange.id] {
+      if (const auto it = exchanges_.find(id); it != exchanges_.end()) it->second->events.room();
+    });
+  } else if (wrote == Stream::Wrote::kAll) {
+    Sent(exchange);
+  }
 }
 
 void RealServers::Sent(Exchange& exchange) {
   exchange.written = true;
+  if (exchange.fed) {
+    exchange.started = Clock::now();
+    exchange.until = exchange.started + exchange.time_out;
+    exchange.timer.Start(exchange.time_out);
+  }
   if (exchange.events.sent) exchange.events.sent();
 }
 
+void RealServers::Feed(ExchangeId id, std::string bytes) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end() || bytes.empty()) return;
+  it->second->timer.Start(kNoProgress);
+  if (it->second->connection->stream.Write(std::move(bytes)) != Stream::Wrote::kBroken) return;
+  loop_.Post(alive_, [this, id] {
+    if (const auto found = exchanges_.find(id); found != exchanges_.end()) End(*found->second, How::kNotConnected);
+  });
+}
+
+bool RealServers::HasRoom(ExchangeId id) const {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end() || it->second->connecting) return false;
+  return it->second->connection->stream.unwritten() < passing_.window();
+}
+
+void RealServers::EndFeed(ExchangeId id, Span time_out) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end()) return;
+  it->second->fed_whole = true;
+  it->second->time_out = time_out;
+  if (it->second->connection->stream.unwritten() == 0) Sent(*it->second);
+}
+
+void RealServers::PauseAnswer(ExchangeId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end() || it->second->paused) return;
+  it->second->paused = true;
+  it->second->timer.Stop();  // whoever reads it has a deadline of its own
+  it->second->connection->stream.Pause();
+}
+
+void RealServers::ResumeAnswer(ExchangeId id) {
+  const auto it = exchanges_.find(id);
+  if (it == exchanges_.end() || !it->second->paused) return;
+  it->second->paused = false;
+  AwaitMore(*it->second);
+  it->second->connection->stream.Read();
+}
+
 void RealServers::Connected(Connection& connection, bool ok) {
   Exchange& exchange = *connection.exchange;
   exchange.connecting = false;
@@ -120,38 +189,104 @@
 void RealServers::Data(Connection& connection, std::string_view bytes) {
   Exchange* exchange = connection.exchange;
   if (exchange == nullptr) return Ended(connection);  // nothing was asked: not to be trusted any more
-  // What comes before the request has gone out whole belongs to something else.
+  size_t used = 0;
+  const Parsed parsed = connection.parser.Feed(bytes, &used);
+  // More than the answer is no part of it, but nothing that follows on this connection can be trusted.
+  if (parsed == Parsed::kComplete && used < bytes.size()) {
+    counters_.Add("answers_with_excess");
+    connection.excess = true;
+  }
+  Answering(connection, parsed);
+}
+
+// What has come of an answer so far, or all of it.
+void RealServers::Answering(Connection& connection, Parsed parsed) {
+  Exchange* exchange = connection.exchange;
+  HttpParser& parser = connection.parser;
+  // Before the request has gone out whole, only a body that is refused half-way has its answer.
   if (!exchange->written) {
+    const int status = parser.message().status;
+    const bool refused = exchange->fed && parser.head_done() && status / 100 > 2;
+    if (parsed == Parsed::kMore && !refused && exchange->fed) return;
+    if (refused && (parsed == Parsed::kComplete || parsed == Parsed::kMore)) {
+      return End(*exchange, How::kAnswered, parser.TakeHead());
+    }
     counters_.Add("answers_unasked");
     return End(*exchange, How::kNotConnected);
   }
-  size_t used = 0;
-  const Parsed parsed = connection.parser.Feed(bytes, &used);
-  if (parsed == Parsed::kMore) {
-    if (connection.parser.begun() && !exchange->answering) {
-      exchange->answering = true;
-      exchange->timer.Start(std::clamp<Span>(exchange->until - Clock::now(), 0ms, kLongestAnswer));
+  if (parsed != Parsed::kMore && parsed != Parsed::kComplete) {
+    counters_.Add("answers_malformed");
+    return End(*exchange, exchange->passing ? How::kBroken : How::kSpoilt);
+  }
+  const bool some = parsed == Parsed::kComplete || !parser.message().body.empty();
+  if (parser.is_long() && some && !exchange->passing) {
+    if (parser.message().status != 200 || !exchange->events.answer) {
+      return End(*exchange, How::kAnswered, parser.TakeHead());  // nobody reads what follows
     }
+    exchange->passing = true;
+    exchange->took = Clock::now() - exchange->started;
+    connection.stream.KeepQueueShort();
+    passing_.Begin();
+    const bool keep_alive = parser.message().keep_alive;
+    connection.kept_alive = keep_alive;
+    exchange->head = parser.TakeHead();
+    exchange->events.answer(exchange->head);
+    if (connection.exchange != exchange) return;  // nobody wants it
+  }
+  if (exchange->passing) {
+    if (std::string piece = parser.TakePiece(); !piece.empty()) exchange->events.piece(std::move(piece));
+    if (connection.exchange != exchange) return;
+  }
+  if (parsed == Parsed::kComplete) return EndAnswered(connection, !connection.excess);
+  if (parser.begun()) AwaitMore(*exchange);
+}
+
+// How long for, until something more of the answer comes.
+void RealServers::AwaitMore(Exchange& exchange) {
+  const HttpParser& parser = exchange.connection->parser;
+  if (exchange.passing) {
+    if (!exchange.paused) exchange.timer.Start(kNoProgress);
     return;
   }
-  if (parsed != Parsed::kComplete) {
-    counters_.Add("answers_malformed");
-    return End(*exchange, How::kSpoilt);
+  const Span left = exchange.until - Clock::now();
+  const bool known = !parser.head_done() || parser.message().length.has_value();
+  // The pieces of an answer of unknown length do not put off its being passed on.
+  if (!known && parser.message().status == 200 && exchange.events.answer) {
+    if (!std::exchange(exchange.holding, true)) exchange.timer.Start(std::clamp<Span>(left, 0ms, kHoldBack));
+  } else {
+    exchange.timer.Start(std::clamp<Span>(left, 0ms, kSilence));
   }
-  Message answer = connection.parser.Take();
-  // More than the answer is no part of it, but nothing that follows on this connection can be trusted.
-  if (used < bytes.size()) counters_.Add("answers_with_excess");
-  if (answer.keep_alive && used == bytes.size()) {
+  exchange.answering = true;
+}
+
+void RealServers::EndAnswered(Connection& connection, bool at_rest) {
+  Exchange& exchange = *connection.exchange;
+  Message answer;
+  bool keep_alive = connection.kept_alive;
+  if (exchange.passing) {
+    connection.parser.Take();
+    answer = std::move(exchange.head);
+  } else {
+    answer = connection.parser.Take();
+    keep_alive = answer.keep_alive;
+  }
+  if (keep_alive && at_rest) {
     connection.exchange = nullptr;
     connection.rested = Clock::now();
-    idle_[connection.server].push_back(std::move(exchange->connection));
+    idle_[connection.server].push_back(std::move(exchange.connection));
   }
-  End(*exchange, How::kAnswered, std::move(answer));
+  End(exchange, How::kAnswered, std::move(answer));
 }
 
 void RealServers::Ended(Connection& connection) {
   if (Exchange* exchange = connection.exchange; exchange != nullptr) {
-    // An answer without a length ends here too, but whether it is whole cannot be known.
+    // An answer without a length ends here too, where the other side has closed as it should.
+    const bool ends = exchange->written && connection.stream.ended_well() && connection.parser.head_done() &&
+                      connection.parser.FeedEnd() == Parsed::kComplete;
+    if (ends) {
+      connection.excess = true;
+      return Answering(connection, Parsed::kComplete);
+    }
     return End(*exchange, exchange->written ? How::kBroken : How::kNotConnected);
   }
   auto& idle = idle_[connection.server];
@@ -165,19 +300,37 @@
 
 void RealServers::Written(Connection& connection, bool ok) {
   if (connection.exchange == nullptr) return;
-  if (!ok) return End(*connection.exchange, How::kNotConnected);
-  Sent(*connection.exchange);
+  Exchange& exchange = *connection.exchange;
+  if (!ok) return End(exchange, How::kNotConnected);
+  if (!exchange.fed) return Sent(exchange);
+  exchange.timer.Start(kNoProgress);
+  if (connection.stream.unwritten() > 0) return;
+  if (exchange.fed_whole) {
+    if (!exchange.written) Sent(exchange);
+  } else {
+    exchange.events.room();
+  }
 }
 
 void RealServers::Late(ExchangeId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
-  if (it->second->connecting) counters_.Add("connect_timeouts");
-  if (it->second->answering && Clock::now() < it->second->until) {
+  Exchange& exchange = *it->second;
+  if (exchange.connecting) counters_.Add("connect_timeouts");
+  if (exchange.passing) {
+    counters_.Add("answers_stalled");
+    return End(exchange, How::kBroken);
+  }
+  if (exchange.holding) {  // it goes on for longer than is held back
+    exchange.holding = false;
+    exchange.connection->parser.MakeLong();
+    return Answering(*exchange.connection, Parsed::kMore);
+  }
+  if (exchange.answering && Clock::now() < exchange.until) {
     counters_.Add("answers_unfinished");
-    return End(*it->second, How::kSpoilt);
+    return End(exchange, How::kSpoilt);
   }
-  End(*it->second, it->second->written ? How::kTimedOut : How::kNotConnected);
+  End(exchange, exchange.written ? How::kTimedOut : How::kNotConnected);
 }
 
 // The connection is closed, or at rest, before anybody hears of the end: never two attempts in flight.
@@ -188,7 +341,8 @@
   ended->timer.Stop();
   if (ended->connection != nullptr) Discard(std::move(ended->connection));
   const auto done = std::move(ended->events.done);
-  const Span took = Clock::now() - ended->started;
+  const Span took = ended->passing ? ended->took : Clock::now() - ended->started;
+  Forget(*ended);
   loop_.Bury(std::move(ended));
   done({how, std::move(answer), took});
 }
@@ -199,12 +353,18 @@
   std::unique_ptr<Exchange> ended = std::move(it->second);
   exchanges_.erase(it);
   ended->timer.Stop();
+  Forget(*ended);
   const bool written = ended->written;
   if (ended->connection != nullptr) Discard(std::move(ended->connection));
   loop_.Bury(std::move(ended));
   return written;
 }
 
+void RealServers::Forget(const Exchange& exchange) {
+  if (exchange.fed) passing_.End();
+  if (exchange.passing) passing_.End();
+}
+
 bool RealServers::Fresh(const Connection& connection) const {
   const auto margin = std::min<std::chrono::microseconds>(limits_.idle / 5, std::chrono::seconds(1));
   return Clock::now() - connection.rested < limits_.idle - margin;
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -13,6 +13,7 @@
 #include "http1/http.h"
 #include "loop/loop.h"
 #include "membership/service_entry.h"
+#include "passing/room.h"
 
 namespace umberdyke::net {
 
@@ -28,14 +29,19 @@
     kNoRoom,        // not tried: every descriptor is in use
   };
   How how;
-  Message answer;
-  Span took{};
+  Message answer;  // without a body where it was told in pieces
+  Span took{};     // of a long answer: to its first bytes; of a body that was fed: from its last byte on
 };
 
-// What the one that starts an exchange is asked and told.
+// What the one that starts an exchange is asked and told. All but may_begin and done may be empty.
 struct ExchangeEvents {
   std::function<bool()> may_begin;  // asked right before the first byte goes out
-  std::function<void()> sent;       // the request's last byte is written; may be empty
+  std::function<void()> sent;       // the request's last byte is written
+  // A body that is fed: its head is out, or some of it is, and there is room for more.
+  std::function<void()> room;
+  // A long answer of 200: its head, then its body in pieces. Without this, a long answer is spoilt.
+  std::function<void(const Message& head)> answer;
+  std::function<void(std::string piece)> piece;
   // Follows in any case but GiveUp, never from inside Start; the connection is closed or at rest by then.
   std::function<void(ExchangeEnd)> done;
 };
@@ -48,11 +54,18 @@
     int descriptors;
   };
 
-  RealServers(Loop& loop, const Limits& limits, Counters& counters);
+  RealServers(Loop& loop, const Limits& limits, PassingRoom& passing, Counters& counters);
   ~RealServers();
 
   ExchangeId Start(ServerId server, const Address& address, std::string request, Span time_out,
-                   ExchangeEvents events);
+                   ExchangeEvents events, bool fed = false);
+  // More of the request's body, where it is fed; `room` says when. The time-out runs from its end.
+  void Feed(ExchangeId exchange, std::string bytes);
+  bool HasRoom(ExchangeId exchange) const;
+  void EndFeed(ExchangeId exchange, Span time_out);
+  // The long answer's reader lags, or has caught up.
+  void PauseAnswer(ExchangeId exchange);
+  void ResumeAnswer(ExchangeId exchange);
   // Closes the exchange's connection; `done` does not follow. Says whether the request had been written
   // whole; nothing for an exchange that is over.
   std::optional<bool> GiveUp(ExchangeId exchange);
@@ -69,6 +82,10 @@
 
   void Begin(Exchange& exchange);
   void Sent(Exchange& exchange);
+  void Answering(Connection& connection, Parsed parsed);
+  void EndAnswered(Connection& connection, bool at_rest);
+  void AwaitMore(Exchange& exchange);
+  void Forget(const Exchange& exchange);
   void Connected(Connection& connection, bool ok);
   void Data(Connection& connection, std::string_view bytes);
   void Ended(Connection& connection);
@@ -82,6 +99,7 @@
 
   Loop& loop_;
   Limits limits_;
+  PassingRoom& passing_;
   Counters& counters_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   int open_ = 0;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -75,15 +75,27 @@
       log_(std::move(log)),
       platform_(config_),
       tally_(config_.class_names),
+      passing_(config_.memory),
       entry_(counters_, [this](const ListChange& c) { Told(c); }),
-      servers_(loop, ServerLimits(config_), counters_),
+      servers_(loop, ServerLimits(config_), passing_, counters_),
       decisions_(loop, config_, counters_, *this),
       take_in_(platform_, counters_, [this](int request_class) { book_.Refused(request_class); }),
       admit_(loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); },
              [this](int request_class) { book_.Refused(request_class); }),
       route_(entry_, config_.settings),
       send_(servers_, route_, platform_, tally_, counters_, config_.settings.parallel_attempts,
-            [this](AttemptResult result) { AttemptEnded(std::move(result)); }),
+            [this](AttemptResult result) { AttemptEnded(std::move(result)); },
+            {[this](FlowId id) {
+               if (Flow* flow = flows_.Find(id); flow != nullptr) send_.Pump(*flow);
+             },
+             [this](FlowId flow) { decisions_.TellBodyBegun(flow); },
+             [this](FlowId id) {
+               if (const Flow* flow = flows_.Find(id); flow != nullptr) decisions_.TellBodyOut(*flow);
+             },
+             [this](FlowId flow, int attempt, const Message& head) { AnswerBegins(flow, attempt, head); },
+             [this](FlowId flow, int attempt, std::string piece) {
+               AnswerPiece(flow, attempt, std::move(piece));
+             }}),
       relay_(platform_, config_.settings, counters_),
       book_(loop, flows_, platform_, decisions_, tally_, counters_),
       listener_(loop, [this] { AcceptWaiting(); }),
@@ -157,6 +169,7 @@
 void Sidecar::Shared() {
   const bool shared = handover_->shared();
   edge_limit_ = EdgeLimit(config_, shared);
+  passing_.Share(shared);
   servers_.LimitTo(edge_limit_);
   ShedTo(edge_limit_);
   log_->Say(Event::kTakenOver,
@@ -203,7 +216,7 @@
     return;
   }
   accept_waits_ = false;
-  auto edge = std::make_unique<EdgeConnection>(loop_, *this);
+  auto edge = std::make_unique<EdgeConnection>(loop_, *this, passing_);
   if (!edge->Accept(listener_)) {
     counters_.Add("edges_not_accepted");
     return;
@@ -218,7 +231,7 @@
   EdgeConnection* oldest = nullptr;
   for (const auto& [edge, owned] : edges_) {
     if (!edge->spare() && !edge->silent()) continue;
-    const auto rank = [](const EdgeConnection& e) { return std::pair(!e.silent(), e.rested()); };
+    const auto rank = [](const EdgeConnection& e) { return std::pair(e.began(), e.rested()); };
     if (oldest == nullptr || rank(*edge) < rank(*oldest)) oldest = edge;
   }
   if (oldest == nullptr) return false;
@@ -227,10 +240,50 @@
   return true;
 }
 
-void Sidecar::OnRequest(EdgeConnection& edge, Message message) {
-  std::optional<FlowRequest> request = take_in_(edge, std::move(message), life_.ready() || replaced(), leaving());
+void Sidecar::OnRequest(EdgeConnection& edge, Message message) { Take(edge, std::move(message), false); }
+
+void Sidecar::OnLongRequest(EdgeConnection& edge, Message head) {
+  counters_.Add("requests_long");
+  Take(edge, std::move(head), true);
+}
+
+void Sidecar::Take(EdgeConnection& edge, Message message, bool long_body) {
+  const bool ready = life_.ready() || replaced();
+  std::optional<FlowRequest> request = take_in_(edge, std::move(message), long_body, ready, leaving());
   if (!request) return;
-  if (Flow* flow = admit_(edge, std::move(*request)); flow != nullptr) decisions_.TellFlow(*flow);
+  Flow* flow = admit_(edge, std::move(*request));
+  if (flow == nullptr) return;
+  if (long_body && edge.body_received()) admit_.Taken(*flow);
+  decisions_.TellFlow(*flow);
+}
+
+void Sidecar::OnBody(EdgeConnection& edge) {
+  Flow* flow = flows_.Find(edge.flow);
+  if (flow == nullptr) return;
+  if (edge.body_received() && flow->taking) admit_.Taken(*flow);
+  send_.Pump(*flow);
+}
+
+void Sidecar::OnRoom(EdgeConnection& edge) {
+  if (const Flow* flow = flows_.Find(edge.flow); flow != nullptr) send_.Resume(*flow);
+}
+
+// What comes of a long body is no body, or comes too slowly: its flow ends with the answer that says so.
+void Sidecar::OnBadInput(EdgeConnection& edge, Parsed why) {
+  LeaveFlow(edge, Ending::kFailed);
+  take_in_.Refuse(edge, why);
+}
+
+void Sidecar::OnSlowInput(EdgeConnection& edge) {
+  LeaveFlow(edge, Ending::kFailed);
+  take_in_.RefuseSlow(edge);
+}
+
+void Sidecar::LeaveFlow(EdgeConnection& edge, Ending ending) {
+  const FlowId flow = std::exchange(edge.flow, 0);
+  if (flow == 0) return;
+  book_.Close(flow, ending);
+  decisions_.TellGone(flow);
 }
 
 // Clients that wait in the kernel's queue get their turn once a connection can be spared.
@@ -246,14 +299,10 @@
   if (!INVARIANT(it != edges_.end(), counters_)) return;
   std::unique_ptr<EdgeConnection> gone = std::move(it->second);
   edges_.erase(it);
-  const FlowId flow = gone->flow;
   gone->Close();
+  if (gone->flow != 0) counters_.Add("flows_left");
+  LeaveFlow(*gone, Ending::kLeft);
   loop_.Bury(std::move(gone));
-  if (flow != 0) {
-    counters_.Add("flows_left");
-    book_.Close(flow, Ending::kLeft);
-    decisions_.TellGone(flow);
-  }
   OnRested();
   if (closing_ && edges_.empty() && drained_) loop_.Post(alive_, std::exchange(drained_, nullptr));
 }
@@ -261,6 +310,7 @@
 void Sidecar::SendFlow(FlowId id, ServerId server, std::optional<Span> time_out) {
   Flow* flow = flows_.Find(id);
   const int attempt = flow == nullptr ? 0 : flow->attempts++;
+  if (flow != nullptr && flow->taking) flow->deadline = Clock::now() + flow->request.time_left;
   const auto routed = flow == nullptr ? std::nullopt : route_(*flow, server, time_out);
   if (routed) return send_(*flow, attempt, *routed);
   book_.Attempt({id, attempt, server, Outcome::kNotSent, {}, {}}, flow == nullptr);
@@ -272,10 +322,26 @@
   book_.Note(flow, result.outcome);
   if (flow != nullptr && result.outcome == Outcome::kUnfit) flow->unfit = result.answer.status;
   const bool served = flow != nullptr && result.outcome == Outcome::kOk;
-  if (served) {
+  const bool begun = flow != nullptr && flow->passing;
+  if (begun) {
+    book_.Close(result.flow, served ? relay_.Finish(*flow) : relay_.Break(*flow));
+  } else if (served) {
     book_.Close(result.flow, relay_.Served(*flow, result.answer, leaving()));
   }
-  book_.Attempt(result, served || flow == nullptr);
+  book_.Attempt(result, served || begun || flow == nullptr);
+}
+
+void Sidecar::AnswerBegins(FlowId id, int attempt, const Message& head) {
+  Flow* flow = flows_.Find(id);
+  if (flow == nullptr) return send_.Cancel(id, attempt);
+  decisions_.TellAnswerBegun(id, attempt);
+  if (!relay_.Begin(*flow, head, leaving())) send_.Pause(*flow);
+}
+
+void Sidecar::AnswerPiece(FlowId id, int attempt, std::string piece) {
+  Flow* flow = flows_.Find(id);
+  if (flow == nullptr) return send_.Cancel(id, attempt);
+  if (!relay_.Piece(*flow, std::move(piece))) send_.Pause(*flow);
 }
 
 void Sidecar::TurnDown(FlowId id, std::chrono::microseconds retry_after) {
@@ -311,16 +377,16 @@
   const ServerRecord* record = entry_.Find(server);
   counters_.Add("checks_sent");
   if (record == nullptr || !route_.Open(server)) return decisions_.TellCheck(server, Outcome::kNotSent, {});
-  servers_.Start(
-      server, record->address, platform_.CheckRequest(PrintAddress(record->address)), kCheckTime,
-      {[this, server] { return route_.Open(server); },
-       {},
-       [this, server](const ExchangeEnd& end) {
-         const Outcome outcome = SendOut::OutcomeOf(end);
-         const bool answered = end.how == ExchangeEnd::How::kAnswered;
-         Heard(server, outcome);
-         decisions_.TellCheck(server, outcome, answered ? platform_.ReportInCheck(end.answer) : std::nullopt);
-       }});
+  ExchangeEvents events;
+  events.may_begin = [this, server] { return route_.Open(server); };
+  events.done = [this, server](const ExchangeEnd& end) {
+    const Outcome outcome = SendOut::OutcomeOf(end);
+    const bool answered = end.how == ExchangeEnd::How::kAnswered;
+    Heard(server, outcome);
+    decisions_.TellCheck(server, outcome, answered ? platform_.ReportInCheck(end.answer) : std::nullopt);
+  };
+  const std::string request = platform_.CheckRequest(PrintAddress(record->address));
+  servers_.Start(server, record->address, request, kCheckTime, std::move(events));
 }
 
 void Sidecar::Tick() {
@@ -332,7 +398,7 @@
 
 Figures Sidecar::CurrentFigures() const {
   Figures figures = tally_.figures();
-  figures.concurrent = flows_.size();
+  figures.concurrent = flows_.taken();
   figures.targets = entry_.listed();
   figures.targets_disabled = static_cast<std::uint64_t>(decisions_.Avoided());
   return figures;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -52,8 +52,11 @@
   bool TakeClientsBack() override;
 
   void OnRequest(EdgeConnection& edge, Message message) override;
-  void OnBadInput(EdgeConnection& edge, Parsed why) override { take_in_.Refuse(edge, why); }
-  void OnSlowInput(EdgeConnection& edge) override { take_in_.RefuseSlow(edge); }
+  void OnLongRequest(EdgeConnection& edge, Message head) override;
+  void OnBody(EdgeConnection& edge) override;
+  void OnRoom(EdgeConnection& edge) override;
+  void OnBadInput(EdgeConnection& edge, Parsed why) override;
+  void OnSlowInput(EdgeConnection& edge) override;
   void OnRested() override;
   void OnGone(EdgeConnection& edge) override;
 
@@ -69,6 +72,10 @@
   void Told(const ListChange& change);
   void AcceptWaiting();
   bool ShedOldestEdge();
+  void Take(EdgeConnection& edge, Message message, bool long_body);
+  void LeaveFlow(EdgeConnection& edge, Ending ending);
+  void AnswerBegins(FlowId flow, int attempt, const Message& head);
+  void AnswerPiece(FlowId flow, int attempt, std::string piece);
   void AttemptEnded(AttemptResult result);
   void Heard(ServerId server, Outcome outcome);
   void LastCall(FlowId flow);
@@ -92,6 +99,7 @@
   Life life_;
   const Platform platform_;
   Tally tally_;
+  PassingRoom passing_;
   FlowTable flows_;
   ServiceEntry entry_;
   std::unique_ptr<MemberSource> source_;
