Test long bodies on real sockets, and close behind an answer to half a body

Ten cases: both directions in every framing, back-pressure either way, slow and silent clients, an early refusal, a break, the windows' bound. The answer to a body that is still coming said keep-alive though the connection ends with it; Relay's KeepAlive looks at that now.

--- a/src/flow/relay.cpp
+++ b/src/flow/relay.cpp
@@ -3,7 +3,10 @@
 namespace umberdyke::net {
 namespace {
 
-bool KeepAlive(const Flow& flow, bool draining) { return flow.request.message.keep_alive && !draining; }
+// Behind an answer to half a body the rest of that body would come.
+bool KeepAlive(const Flow& flow, bool draining) {
+  return flow.request.message.keep_alive && !draining && !flow.taking;
+}
 
 }  // namespace
 
--- /dev/null
+++ b/tests/passing/passing_test.cpp
@@ -0,0 +1,336 @@
+// Long bodies and answers on real sockets: whole, in any framing and pace, with bounded memory, and what becomes of
+// those that break off.
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "net/site.h"
+#include "passing/room.h"
+
+namespace umberdyke::net {
+namespace {
+
+std::string Pattern(size_t size) {
+  std::string body(size, '\0');
+  for (size_t i = 0; i < size; ++i) body[i] = static_cast<char>('a' + (i * 31 + i / 977) % 26);
+  return body;
+}
+
+std::string Chunked(const std::string& body, size_t piece) {
+  std::string out;
+  char size[16];
+  for (size_t at = 0; at < body.size(); at += piece) {
+    const std::string part = body.substr(at, piece);
+    std::snprintf(size, sizeof size, "%zx;e=1\r\n", part.size());
+    out += size + part + "\r\n";
+  }
+  return out + "0\r\nX-Trailer: t\r\n\r\n";
+}
+
+std::string LongHand(const std::string& framing, const std::string& more = "") {
+  return "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: big\r\nX-Priority-Class: hand\r\nX-Tenant-Id: acme\r\n"
+         "X-Timeout-Ms: 4000\r\nIdempotency-Key: k\r\n" +
+         more + framing + "\r\n\r\n";
+}
+
+// A peer that reads raw bytes, at its own pace, and lets the test look at them.
+class Raw : public StreamUser {
+ public:
+  Raw(Loop& loop, const Address& to) : stream(loop, this) { stream.Connect(to); }
+  void OnConnected(bool) override {
+    stream.Read();
+    if (!early.empty()) stream.Write(early);
+    up = true;
+  }
+  void OnData(std::string_view bytes) override { got.append(bytes); }
+  void OnEnd() override { ended = true; }
+  Stream stream;
+  std::string early, got;
+  bool up = false;
+  bool ended = false;
+};
+
+// A server that reads a request of any length and answers with the body's size.
+class Sink : public StreamUser {
+ public:
+  explicit Sink(Loop& loop) : loop_(loop), listener_(loop, [this] { Come(); }) {
+    listener_.Listen(*ParseAddress("127.0.0.1:0"));
+  }
+  std::string address() const { return PrintAddress(listener_.address()); }
+  void OnData(std::string_view bytes) override {
+    while (!bytes.empty()) {
+      size_t used = 0;
+      parsed = parser.Feed(bytes, &used);
+      bytes.remove_prefix(used);
+      if (parsed != Parsed::kComplete) break;
+      heads.push_back(parser.Take());
+      if (answer) peer->Write(WriteAnswer(200, {}, std::to_string(body.size()), true));
+    }
+  }
+  void OnEnd() override { ended = true; }
+  std::unique_ptr<Stream> peer;
+  HttpParser parser{HttpParser::Kind::kRequest};
+  Parsed parsed = Parsed::kMore;
+  std::string body;
+  std::vector<Message> heads;
+  bool answer = true;
+  bool ended = false;
+  bool read = true;
+  int connections = 0;
+
+ private:
+  void Come() {
+    ++connections;
+    parser.StreamBodyTo([this](std::string_view piece) { body.append(piece); });
+    peer = std::make_unique<Stream>(loop_, this);
+    peer->Accept(listener_.raw());
+    if (read) peer->Read();
+  }
+  Loop& loop_;
+  Listener listener_;
+};
+
+struct SinkSite : Site {
+  SinkSite() : Site(1), sink(loop) {
+    REQUIRE(Until([&] { return watch != nullptr; }));
+    Tell(ListText(2, true, {ServerLine("sink", sink.address())}));
+    REQUIRE(Until([&] { return sidecar->counters().Of("discovery_changes") == 1; }));
+  }
+  Sink sink;
+};
+
+// Guards against a body that is cut, doubled or refused for its length, however it is framed.
+TEST_CASE("a long body reaches its server whole, by length or in chunks, also when asked for first",
+          "[passing]") {
+  const std::string body = Pattern(3'000'000);
+  const std::vector<std::tuple<std::string, std::string, std::string>> cases = {
+      {"Content-Length: 3000000", body, ""},
+      {"Transfer-Encoding: chunked", Chunked(body, 50'000), ""},
+      {"Transfer-Encoding: chunked", Chunked(body, 777), "Expect: 100-continue\r\n"},
+      {"Content-Length: 3000000", body, "Expect: 100-continue\r\n"},
+  };
+  for (const auto& [framing, bytes, more] : cases) {
+    INFO(framing << more);
+    SinkSite site;
+    const auto client = site.Connect();
+    client->Send(LongHand(framing, more));
+    REQUIRE(site.Until([&] { return client->up; }));
+    client->Send(bytes);
+    REQUIRE(site.Until([&] { return !client->answers.empty() || client->ended; }));
+    REQUIRE(client->answers.size() == 1);
+    CHECK(client->answers[0].status == 200);
+    CHECK(client->answers[0].body == "3000000");
+    CHECK(client->answers[0].keep_alive);
+    CHECK(site.sink.body == body);
+    REQUIRE(site.sink.heads.size() == 1);
+    CHECK(*site.sink.heads[0].Find("Idempotency-Key") == "k");
+    CHECK(site.sink.heads[0].Find("X-Trailer") == nullptr);
+    client->Send(Look());  // the connection is good for another
+    REQUIRE(site.Until([&] { return client->answers.size() == 2; }));
+  }
+}
+
+// Guards against memory that grows with what a server does not read, and against a client that is cut for it.
+TEST_CASE("a server that does not read stops the client, and not for good", "[passing]") {
+  SinkSite site;
+  site.sink.read = false;
+  const std::string body = Pattern(12'000'000);
+  const auto client = site.Connect();
+  client->Send(LongHand("Content-Length: 12000000"));
+  REQUIRE(site.Until([&] { return client->up; }));
+  client->Send(body);
+  site.loop.RunUntil([] { return false; }, 400ms);
+  const size_t waits = client->stream.unwritten();
+  CHECK(waits > 0);  // in the client still, as kernel and windows are full
+  CHECK(client->answers.empty());
+  site.sink.peer->Read();
+  REQUIRE(site.Until([&] { return !client->answers.empty(); }));
+  CHECK(client->answers[0].status == 200);
+  CHECK(site.sink.body == body);
+}
+
+// Guards against repeating what is not kept any more.
+TEST_CASE("once a piece of its body has left, a request is not sent again", "[passing]") {
+  Site site(3);
+  // Parties read whole messages only: a long one never comes whole before the connection is cut.
+  const auto client = site.Connect();
+  client->Send(LongHand("Content-Length: 1000000"));
+  REQUIRE(site.Until([&] { return client->up; }));
+  client->Send(std::string(300'000, 'x'));
+  const auto peer = [&]() -> Party::Peer* {
+    for (auto& server : site.real) {
+      if (!server->peers.empty()) return server->peers[0].get();
+    }
+    return nullptr;
+  };
+  REQUIRE(site.Until([&] { return peer() != nullptr; }));
+  site.loop.RunUntil([] { return false; }, 100ms);
+  peer()->stream.Close();
+  REQUIRE(site.Until([&] { return !client->answers.empty(); }));
+  CHECK(client->answers[0].status == 503);  // it never ran: to ask again is harmless
+  CHECK_FALSE(client->answers[0].keep_alive);
+  CHECK(site.sidecar->counters().Of("attempts_sent") == 1);
+}
+
+// Guards against waiting for the whole of a body whose server has refused it.
+TEST_CASE("an answer that comes before the body is whole ends the request", "[passing]") {
+  SinkSite site;
+  const auto client = site.Connect();
+  client->Send(LongHand("Content-Length: 10000000"));
+  REQUIRE(site.Until([&] { return client->up; }));
+  client->Send(std::string(200'000, 'x'));
+  REQUIRE(site.Until([&] { return site.sink.body.size() > 100'000; }));
+  site.sink.peer->Write("HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(site.Until([&] { return !client->answers.empty(); }));
+  CHECK(client->answers[0].status == 503);
+  CHECK(site.Until([&] { return site.sink.ended; }));
+}
+
+// Guards against a slow client that is taken for a silent one, and against a silent one that is waited for.
+TEST_CASE("a slow body is waited for, a silent one is not", "[passing]") {
+  SinkSite site;
+  const auto slow = site.Connect();
+  slow->Send(LongHand("Content-Length: 80000"));
+  REQUIRE(site.Until([&] { return slow->up; }));
+  const Time start = Clock::now();
+  for (int i = 0; i < 40; ++i) {  // 64 kB a second for longer than a head may take
+    slow->Send(std::string(2'000, 'x'));
+    site.loop.RunUntil([] { return false; }, 70ms);
+  }
+  REQUIRE(site.Until([&] { return !slow->answers.empty() || slow->ended; }));
+  CHECK(Clock::now() - start > 2600ms);
+  REQUIRE(slow->answers.size() == 1);
+  CHECK(slow->answers[0].status == 200);
+
+  std::string other = LongHand("Content-Length: 80000");
+  other.replace(other.find("big"), 3, "sil");
+  const auto silent = site.Connect();
+  const Time asked = Clock::now();
+  silent->Send(other + std::string(70'000, 'x'));
+  REQUIRE(site.Until([&] { return !silent->answers.empty(); }));
+  CHECK(silent->answers[0].status == 408);
+  CHECK(Clock::now() - asked < 3s);
+  CHECK(site.sidecar->counters().Of("requests_slow") == 1);
+}
+
+// Guards against an answer that is cut, held back, or taken for another's, however it is framed.
+TEST_CASE("a long answer reaches its client whole in every framing, and at once", "[passing]") {
+  const std::string body = Pattern(3'000'000);
+  const std::vector<std::string> answers = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\nX-Lot: 7\r\n\r\n" + body,
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Lot: 7\r\n\r\n" + Chunked(body, 9'999),
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Lot: 7\r\n\r\n" + body,
+      "HTTP/1.0 200 OK\r\nX-Lot: 7\r\n\r\n" + body,
+  };
+  for (size_t i = 0; i < answers.size(); ++i) {
+    for (const bool old_client : {false, true}) {
+      INFO(answers[i].substr(0, 60) << old_client);
+      Site site(1);
+      site.Script([&](Party::Peer& peer) {
+        peer.Reply(answers[i]);
+        if (i >= 2) peer.stream.EndSending();
+      });
+      std::string request = Look();
+      if (old_client) request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+      Raw client(site.loop, site.sidecar->address());
+      client.early = request;
+      HttpParser parser(HttpParser::Kind::kResponse);
+      std::string got;
+      parser.StreamBodyTo([&](std::string_view piece) { got.append(piece); });
+      size_t fed = 0;
+      Parsed parsed = Parsed::kMore;
+      REQUIRE(site.Until([&] {
+        size_t used = 0;
+        if (fed < client.got.size()) parsed = parser.Feed(std::string_view(client.got).substr(fed), &used);
+        fed += used;
+        if (client.ended && parsed == Parsed::kMore) parsed = parser.FeedEnd();
+        return parsed != Parsed::kMore;
+      }));
+      CHECK(parsed == Parsed::kComplete);
+      CHECK(got == body);
+      CHECK(parser.message().Find("X-Lot") != nullptr);
+      CHECK(site.sidecar->counters().Of("flows_served") == 1);
+      if (i < 2) CHECK(site.sidecar->counters().Of("invariant_broken") == 0);
+    }
+  }
+}
+
+// Guards against memory that grows with what a client does not read, and against losing the rest for it.
+TEST_CASE("a client that does not read stops the server, and gets the rest when it does", "[passing]") {
+  Site site(1);
+  const std::string body = Pattern(16'000'000);
+  site.Script([&](Party::Peer& peer) {
+    peer.Reply("HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n" + body);
+  });
+  Raw client(site.loop, site.sidecar->address());
+  client.early = Look();
+  REQUIRE(site.Until([&] { return !client.got.empty(); }));
+  client.stream.Pause();
+  site.loop.RunUntil([] { return false; }, 600ms);
+  CHECK(site.real[0]->peers[0]->stream.unwritten() > 0);
+  client.stream.Read();
+  REQUIRE(site.Until([&] { return client.got.size() > body.size(); }));
+  CHECK(client.got.substr(client.got.size() - body.size()) == body);
+}
+
+// Guards against an answer that looks whole and is not.
+TEST_CASE("a long answer that breaks off is seen to be broken", "[passing]") {
+  const std::vector<std::string> starts = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2dc6c0\r\n",
+  };
+  for (const std::string& start : starts) {
+    INFO(start);
+    Site site(2);
+    site.Script([&](Party::Peer& peer) {
+      peer.Reply(start + std::string(500'000, 'x'));
+      peer.stream.EndSending();
+    });
+    Raw client(site.loop, site.sidecar->address());
+    client.early = Hand();
+    REQUIRE(site.Until([&] { return client.ended; }));
+    CHECK(client.got.size() < 3'000'000);
+    CHECK(client.got.find("\r\n0\r\n") == std::string::npos);
+    CHECK(site.Requests() == 1);
+    CHECK(site.sidecar->counters().Of("flows_broken") == 1);
+    CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
+  }
+}
+
+// Guards against holding back the beginning of an answer whose end is a while off.
+TEST_CASE("an answer of unknown length is passed on soon, in pieces of one byte", "[passing]") {
+  Site site(1);
+  Party::Peer* server = nullptr;
+  site.Script([&](Party::Peer& peer) {
+    server = &peer;
+    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+  });
+  Raw client(site.loop, site.sidecar->address());
+  client.early = Look();
+  const Time start = Clock::now();
+  REQUIRE(site.Until([&] { return client.got.find("\r\n\r\n1\r\na\r\n") != std::string::npos; }));
+  CHECK(Clock::now() - start < 1s);
+  for (const char c : std::string("1\r\nb\r\n0\r\n\r\n")) {
+    server->Reply(std::string(1, c));
+    site.loop.RunUntil([] { return false; }, 5ms);
+  }
+  CHECK(site.Until([&] { return client.got.find("1\r\nb\r\n0\r\n\r\n") != std::string::npos; }));
+}
+
+// Guards against windows that together hold more than they may.
+TEST_CASE("the windows of all transfers hold a quarter of the memory, half of that where it is shared",
+          "[passing]") {
+  PassingRoom room(24 << 20);
+  CHECK(room.window() == PassingRoom::kLargestWindow);
+  for (int i = 0; i < 400; ++i) room.Begin();
+  CHECK(room.window() * 400 <= (24u << 20) / 4);
+  const size_t alone = room.window();
+  room.Share(true);
+  CHECK(room.window() <= alone);
+  for (int i = 0; i < 10'000; ++i) room.Begin();
+  CHECK(room.window() == PassingRoom::kSmallestWindow);
+  for (int i = 0; i < 20'000; ++i) room.End();
+  CHECK(room.transfers() == 0);
+}
+
+}  // namespace
+}  // namespace umberdyke::net
