Test replacements with real processes: fifty under load, and whoever stands in the way

Fifty replacements in a row under load lose no request. Leftovers of every kind in the folder, a predecessor that says nothing, that is killed or stopped at any point, a successor that dies or hangs before it serves, an address that an earlier build holds alone: each leaves an ordinary start.

--- /dev/null
+++ b/tests/handover/handover_test.cpp
@@ -0,0 +1,295 @@
+// Replacing a process under load: real processes, one address, and whoever may stand in the way.
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "config/cases.h"
+#include "files/files.h"
+#include "lab/common/process.h"
+#include "net/site.h"
+
+namespace umberdyke::net {
+namespace {
+
+namespace fs = std::filesystem;
+
+// A place with one server and discovery, in which sidecars are started as processes.
+struct Place {
+  Place() : server(loop), discovery(loop) {
+    folder = fs::temp_directory_path() / ("umberdyke-handover-" + std::to_string(getpid()));
+    fs::remove_all(folder);
+    fs::create_directories(folder / "run");
+    host = lab::OwnAddress();
+    server.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
+    discovery.script = [this](Party::Peer& peer) {
+      const std::string line = ListText(2, true, {ServerLine("s1", server.address())}) + "\n";
+      char size[16];
+      std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+      peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
+    };
+  }
+  ~Place() {
+    processes.clear();
+    fs::remove_all(folder);
+  }
+  std::string listen() const { return host + ":8081"; }
+  std::string console(int number) const { return host + ":" + std::to_string(9800 + number); }
+
+  // The next process of the sidecar; its number names its console.
+  int Start(const std::string& run = "run") {
+    const int number = static_cast<int>(processes.size());
+    const std::string file = (folder / ("config" + std::to_string(number) + ".json")).string();
+    std::string text = ConfigText(discovery.address(), ListText(1, true, {ServerLine("s1", server.address())}));
+    text.insert(1, "\"console\":\"" + console(number) + "\",");
+    text.replace(text.find("127.0.0.1:0"), 11, listen());
+    REQUIRE(files::WriteWhole(file, text).empty());
+    processes.push_back(std::make_unique<lab::Process>(
+        std::vector<std::string>{"/usr/bin/env", "TMPDIR=" + (folder / run).string(), UMBERDYKE_PROGRAM,
+                                 "--config", file},
+        file + ".log"));
+    return number;
+  }
+  std::string Log(int number) const {  // empty until it has begun one
+    return files::ReadWhole((folder / ("config" + std::to_string(number) + ".json.log")).string(), 1 << 20).text;
+  }
+  int Call(int number, const std::string& line, Span most = 1s) {
+    Client client(loop, *ParseAddress(console(number)));
+    client.Send(line + " HTTP/1.1\r\n\r\n");
+    loop.RunUntil([&] { return !client.answers.empty() || client.ended; }, most);
+    return client.answers.empty() ? 0 : client.answers[0].status;
+  }
+  bool Ready(int number, Span most = 6s) {
+    const Time until = Clock::now() + most;
+    while (Clock::now() < until) {
+      if (Call(number, "GET /v1/readyz", 200ms) == 200) return true;
+      loop.RunUntil([] { return false; }, 10ms);
+    }
+    return false;
+  }
+  int Ask() {
+    Client client(loop, *ParseAddress(listen()));
+    client.Send(Request());
+    loop.RunUntil([&] { return !client.answers.empty() || client.ended; }, 3s);
+    return client.answers.empty() ? 0 : client.answers[0].status;
+  }
+  std::string Request() {
+    std::string text = Look();
+    return text.replace(text.find("a1"), 2, "r" + std::to_string(++asked));
+  }
+  std::optional<int> Ended(int number, Span most = 6s) {
+    std::optional<int> status;
+    loop.RunUntil([&] { return (status = processes[static_cast<size_t>(number)]->Ended()).has_value(); }, most);
+    return status;
+  }
+  void Tell(int number, int signal) { processes[static_cast<size_t>(number)]->Tell(signal); }
+
+  Loop loop;
+  Party server, discovery;
+  fs::path folder;
+  std::string host;
+  std::vector<std::unique_ptr<lab::Process>> processes;
+  int asked = 0;
+};
+
+// Clients that keep their connections and open new ones, and count what becomes of every request.
+class Load {
+ public:
+  Load(Place& place, int kept) : place_(place), kept_(static_cast<size_t>(kept)), timer_(place.loop, [this] { Step(); }) {
+    timer_.Start(2ms);
+  }
+  void Stop() { stopping_ = true; }
+  bool Quiet() const { return clients_.empty(); }
+  int answered = 0, lost = 0, other = 0, sent = 0;
+
+ private:
+  struct One {
+    std::unique_ptr<Client> client;
+    size_t asked = 0;
+    size_t rounds = 0;
+  };
+  void Step() {
+    for (auto it = clients_.begin(); it != clients_.end();) {
+      One& one = *it;
+      const bool due = one.client->answers.size() == one.asked;
+      if (due && (one.client->ended || stopping_ || one.asked == one.rounds)) {
+        Count(one);
+        it = clients_.erase(it);
+      } else if (one.client->ended) {
+        Count(one);
+        ++lost;  // it was sent, and the connection ended without its answer
+        it = clients_.erase(it);
+      } else {
+        if (due && one.client->answers.back().keep_alive) Ask(one);
+        ++it;
+      }
+    }
+    while (!stopping_ && clients_.size() < kept_) {
+      clients_.push_back({std::make_unique<Client>(place_.loop, *ParseAddress(place_.listen())), 0,
+                          sent % 3 == 0 ? size_t{1} : size_t{20}});
+      Ask(clients_.back());
+    }
+    timer_.Start(2ms);
+  }
+  void Ask(One& one) {
+    one.client->Send(place_.Request());
+    ++one.asked;
+    ++sent;
+  }
+  void Count(const One& one) {
+    for (const Message& answer : one.client->answers) ++(answer.status == 200 ? answered : other);
+  }
+  Place& place_;
+  const size_t kept_;
+  bool stopping_ = false;
+  std::vector<One> clients_;
+  Timer timer_;
+};
+
+// Guards against a request that is lost at the door, or anywhere, while processes follow one another.
+TEST_CASE("fifty replacements under load lose no request", "[handover]") {
+  Place place;
+  int serving = place.Start();
+  REQUIRE(place.Ready(serving));
+  Load load(place, 6);
+  for (int i = 0; i < 50; ++i) {
+    const int next = place.Start();
+    REQUIRE(place.Ready(next));
+    place.Tell(serving, SIGTERM);
+    if (i % 10 == 9) CHECK(place.Ended(serving) == 0);
+    serving = next;
+    place.loop.RunUntil([] { return false; }, 20ms);
+  }
+  load.Stop();
+  REQUIRE(place.loop.RunUntil([&] { return load.Quiet(); }, 6s));
+  CHECK(load.lost == 0);
+  CHECK(load.other == 0);
+  CHECK(load.answered == load.sent);
+  CHECK(load.sent > 500);
+  CHECK(place.Log(serving).find("taking") == std::string::npos);  // an event's name is not in its text
+  CHECK(place.Log(serving).find("takes over") != std::string::npos);
+  CHECK(place.Ask() == 200);
+}
+
+// Guards against a start that depends on what somebody left behind, or on who holds the address.
+TEST_CASE("whatever stands in the way leaves an ordinary start", "[handover]") {
+  Place place;
+  const std::string path = (place.folder / "run" / ("umberdyke-" + place.host + "-8081.sock")).string();
+  SECTION("leftovers that are no socket") {
+    REQUIRE(files::WriteWhole(path, "left by somebody").empty());
+  }
+  SECTION("a folder under its name") { fs::create_directories(path + "/deep"); }
+  SECTION("no folder at all") { fs::remove_all(place.folder / "run"); }
+  SECTION("a socket that nobody listens on") {
+    const int fd = socket(AF_UNIX, SOCK_STREAM, 0);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    path.copy(address.sun_path, sizeof address.sun_path - 1);
+    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    close(fd);
+  }
+  SECTION("somebody who takes the call and says nothing") {
+    const int fd = socket(AF_UNIX, SOCK_STREAM, 0);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    path.copy(address.sun_path, sizeof address.sun_path - 1);
+    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(listen(fd, 4) == 0);
+    const int first = place.Start();
+    CHECK(place.Ready(first));
+    CHECK(place.Ask() == 200);
+    close(fd);
+  }
+  const int next = place.Start();
+  CHECK(place.Ready(next));
+  CHECK(place.Ask() == 200);
+  place.Tell(next, SIGTERM);
+  CHECK(place.Ended(next) == 0);
+}
+
+// Guards against an old process that is worn down by new ones which come to nothing.
+TEST_CASE("a new process that dies or hangs before it serves costs the old one nothing", "[handover]") {
+  Place place;
+  const int old = place.Start();
+  REQUIRE(place.Ready(old));
+  place.discovery.script = {};  // the next ones wait for their list, and are not ready for a while
+  for (const int signal : {SIGKILL, SIGTERM, SIGSTOP}) {
+    const int next = place.Start();
+    REQUIRE(place.loop.RunUntil([&] { return place.Log(next).find("takes over") != std::string::npos; }, 3s));
+    CHECK(place.Call(next, "GET /v1/readyz") == 503);
+    place.Tell(next, signal);
+    for (int i = 0; i < 20; ++i) CHECK(place.Ask() == 200);
+    CHECK(place.Call(old, "GET /v1/readyz") == 200);
+  }
+  // And one that comes through all the same.
+  const int last = place.Start();
+  REQUIRE(place.Ready(last));
+  place.Tell(old, SIGTERM);
+  CHECK(place.Ended(old) == 0);
+  for (int i = 0; i < 10; ++i) CHECK(place.Ask() == 200);
+}
+
+// Guards against a queue that nobody empties once the old process was killed.
+TEST_CASE("an old process that is killed or hangs leaves the clients to the new one", "[handover]") {
+  Place place;
+  const int old = place.Start();
+  REQUIRE(place.Ready(old));
+  SECTION("killed while the new one waits for its list") {
+    place.discovery.script = {};
+    const int next = place.Start();
+    REQUIRE(place.loop.RunUntil([&] { return place.Log(next).find("takes over") != std::string::npos; }, 3s));
+    place.Tell(old, SIGKILL);
+    for (int i = 0; i < 10; ++i) CHECK(place.Ask() == 200);
+    CHECK(place.Ready(next));
+  }
+  SECTION("killed once the new one serves") {
+    const int next = place.Start();
+    REQUIRE(place.Ready(next));
+    place.Tell(old, SIGKILL);
+    for (int i = 0; i < 10; ++i) CHECK(place.Ask() == 200);
+  }
+  SECTION("it answers nothing") {
+    place.Tell(old, SIGSTOP);
+    const int next = place.Start();
+    CHECK(place.Ready(next));
+    place.Tell(old, SIGKILL);
+    REQUIRE(place.Ended(old).has_value());
+    for (int i = 0; i < 10; ++i) CHECK(place.Ask() == 200);
+  }
+}
+
+// Guards against a new process that ends because an earlier build holds the address for itself.
+TEST_CASE("an address that another holds alone is taken once it is free", "[handover]") {
+  Place place;
+  auto holder = std::make_unique<Party>(place.loop, place.listen());
+  REQUIRE(holder->error.empty());
+  const int next = place.Start();
+  CHECK_FALSE(place.Ready(next, 500ms));
+  CHECK(place.Call(next, "GET /v1/readyz") == 503);
+  CHECK(place.Log(next).find("cannot listen yet") != std::string::npos);
+  holder.reset();
+  CHECK(place.Ready(next));
+  CHECK(place.Ask() == 200);
+}
+
+// Guards against two processes that together hold more than one sidecar may.
+TEST_CASE("two processes share a sidecar's descriptors and say who serves", "[handover]") {
+  Place place;
+  const int old = place.Start();
+  REQUIRE(place.Ready(old));
+  const int next = place.Start();
+  REQUIRE(place.Ready(next));
+  REQUIRE(place.loop.RunUntil(
+      [&] { return place.Log(old).find("shares its limits with another") != std::string::npos; }, 3s));
+  CHECK(place.Log(next).find("shares its limits with another") != std::string::npos);
+  place.Tell(old, SIGTERM);
+  CHECK(place.Ended(old) == 0);
+  CHECK(place.loop.RunUntil([&] { return place.Log(next).find("its limits to itself") != std::string::npos; }, 3s));
+}
+
+}  // namespace
+}  // namespace umberdyke::net
