--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -140,7 +140,8 @@
   const auto limits = json.find("limits");
   if (limits == json.end() || !limits->contains("memory_mb")) return kUsualMemoryMb << 20;
   const Json& memory = (*limits)["memory_mb"];
-  if (!memory.is_number() || !(memory.get<double>() >= 1)) Bad("limits.memory_mb", "is no number of at least 1");
+  if (!memory.is_number() || !(memory.get<double>() >= 1))
+    Bad("limits.memory_mb", "is no number of at least 1");
   return static_cast<std::int64_t>(std::min(memory.get<double>(), 1e7) * (1 << 20));
 }
 
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -15,9 +15,8 @@
 
 class Console::Caller : public StreamUser {
  public:
-  Caller(Console& console) : console_(console), stream_(console.loop_, this), patience_(console.loop_, [this] {
-          Late();
-        }) {}
+  Caller(Console& console)
+      : console_(console), stream_(console.loop_, this), patience_(console.loop_, [this] { Late(); }) {}
 
   bool Accept(Listener& listener) {
     if (!stream_.Accept(listener.raw())) return false;
--- a/src/console/console.h
+++ b/src/console/console.h
@@ -1,8 +1,8 @@
 // The second address, for operators: is it ready, the figures, send clients away, back to work.
 //
 // It knows the rest of the sidecar only through ConsoleOwner, and never waits: each call is answered in the
-// turn of the loop in which its last byte is read. It is bounded by itself: so many callers at once, each with
-// a deadline; over that the oldest that has not sent a whole call makes room. One call a connection.
+// turn of the loop in which its last byte is read. It is bounded by itself: so many callers at once, each
+// with a deadline; over that the oldest that has not sent a whole call makes room. One call a connection.
 #ifndef UMBERDYKE_CONSOLE_CONSOLE_H_
 #define UMBERDYKE_CONSOLE_CONSOLE_H_
 
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -8,10 +8,10 @@
 #include <limits>
 #include <utility>
 
-#include "umberdyke/balancer.h"
 #include "decide/random.h"
 #include "decide/settings.h"
 #include "decide/state.h"
+#include "umberdyke/balancer.h"
 
 namespace umberdyke {
 namespace {
@@ -59,23 +59,23 @@
 constexpr double kHopelessKin = 0.7;  // share of late ones from which on more of them are in vain
 constexpr Micros kLongestShut = 16'000'000;
 // --- Admission ---
-constexpr double kAimShare = 0.45;         // mean answer time that the limit allows, as a share of the aim
-constexpr double kOverQuiet = 1.6;         // or this multiple of the quiet answer time, where that is longer
-constexpr double kMostOverQuiet = 2.5;     // nor a larger multiple: servers choke by what they hold
-constexpr double kMostOfAim = 0.6;         // but never more of the aim: a crowded start passes for quiet
-constexpr double kThroughputTime = 1e6;    // memory of the rate of answers
-constexpr double kSteadyGain = 0.02;       // the quiet answer time is the least of a mean this steady
-constexpr double kQuietRise = 1.002;       // a step up of the quiet answer time: it forgets in half a minute
-constexpr double kStartPerUpstream = 6;    // in hand before any answer, for each upstream, over all balancers
-constexpr double kStartGrowth = 0.1;       // room that each of the first answers makes beyond its own
-constexpr double kAnswersFirst = 50;       // answers that make the start: the first are the quick ones
-constexpr double kAnswersTell = 12;        // answers after which the time taken tells a crowd from chance
-constexpr double kLimitSlack = 2;      // chance crowds of a few in hand: so many roots of the limit, and 1
-constexpr double kTookGain = 0.1;      // weight of one request in the recent time that requests take
-constexpr double kMostTookGain = 0.5;  // where few are let in each stands for many, up to this weight
-constexpr double kRefuseGain = 6;      // share refused for each multiple of the allowed time beyond it
-constexpr double kFewInHand = 6;       // with a limit of so many the limit does half of that by itself
-constexpr double kMostRefused = 0.95;  // always let some work through: without answers nothing is learnt
+constexpr double kAimShare = 0.45;       // mean answer time that the limit allows, as a share of the aim
+constexpr double kOverQuiet = 1.6;       // or this multiple of the quiet answer time, where that is longer
+constexpr double kMostOverQuiet = 2.5;   // nor a larger multiple: servers choke by what they hold
+constexpr double kMostOfAim = 0.6;       // but never more of the aim: a crowded start passes for quiet
+constexpr double kThroughputTime = 1e6;  // memory of the rate of answers
+constexpr double kSteadyGain = 0.02;     // the quiet answer time is the least of a mean this steady
+constexpr double kQuietRise = 1.002;     // a step up of the quiet answer time: it forgets in half a minute
+constexpr double kStartPerUpstream = 6;  // in hand before any answer, for each upstream, over all balancers
+constexpr double kStartGrowth = 0.1;     // room that each of the first answers makes beyond its own
+constexpr double kAnswersFirst = 50;     // answers that make the start: the first are the quick ones
+constexpr double kAnswersTell = 12;      // answers after which the time taken tells a crowd from chance
+constexpr double kLimitSlack = 2;        // chance crowds of a few in hand: so many roots of the limit, and 1
+constexpr double kTookGain = 0.1;        // weight of one request in the recent time that requests take
+constexpr double kMostTookGain = 0.5;    // where few are let in each stands for many, up to this weight
+constexpr double kRefuseGain = 6;        // share refused for each multiple of the allowed time beyond it
+constexpr double kFewInHand = 6;         // with a limit of so many the limit does half of that by itself
+constexpr double kMostRefused = 0.95;    // always let some work through: without answers nothing is learnt
 constexpr double kBackAfter = 0.2;  // the refused are asked back after this share of the aim, or half off it
 constexpr double kQuietRoom = 1.2;  // no class is refused below this multiple of the quiet answer time
 constexpr double kSpread = 0.3;     // the worthless are refused at this share below the limit
--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -21,7 +21,9 @@
 }  // namespace
 
 EdgeConnection::EdgeConnection(Loop& loop, EdgeOwner& owner, PassingRoom& passing)
-    : loop_(loop), owner_(owner), passing_(passing), stream_(loop, this), patience_(loop, [this] { Late(); }) {
+    : loop_(loop), owner_(owner), passing_(passing), stream_(loop, this), patience_(loop, [this] {
+        Late();
+      }) {
   parser_.PassLongBodies();
 }
 
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -1,5 +1,6 @@
-// A client's connection: requests in one at a time, each answered once, in order. Short bodies are held whole; long
-// ones, of requests and of answers, pass in pieces, and each side is read no faster than the other takes it.
+// A client's connection: requests in one at a time, each answered once, in order. Short bodies are held
+// whole; long ones, of requests and of answers, pass in pieces, and each side is read no faster than the
+// other takes it.
 #ifndef UMBERDYKE_EDGE_EDGE_CONNECTION_H_
 #define UMBERDYKE_EDGE_EDGE_CONNECTION_H_
 
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -32,12 +32,12 @@
   int attempts = 0;
   int open = 0;               // attempts in flight
   bool may_have_run = false;  // an attempt ended in a way that does not prove the contrary
-  bool taking = false;     // its long body is still coming
-  bool body_left = false;  // and some of it has gone on to a server: it can't be sent again
+  bool taking = false;        // its long body is still coming
+  bool body_left = false;     // and some of it has gone on to a server: it can't be sent again
   bool body_sent = false;
-  Span wait{};             // of the attempt that is out, from its last byte on
-  bool passing = false;    // its long answer has begun to reach the client
-  int unfit = 0;              // the status with which a real server found the request itself at fault
+  Span wait{};           // of the attempt that is out, from its last byte on
+  bool passing = false;  // its long answer has begun to reach the client
+  int unfit = 0;         // the status with which a real server found the request itself at fault
   std::unique_ptr<Timer> last_call;
 };
 
--- a/src/flow/relay.h
+++ b/src/flow/relay.h
@@ -17,8 +17,8 @@
       : platform_(platform), settings_(settings), counters_(counters) {}
 
   Ending Served(Flow& flow, const Message& answer, bool draining) const;
-  // A long answer goes on as it comes: its head, its pieces, and its end or that there is none. Pieces and head are
-  // false where the client lags.
+  // A long answer goes on as it comes: its head, its pieces, and its end or that there is none. Pieces and
+  // head are false where the client lags.
   bool Begin(Flow& flow, const Message& head, bool draining) const;
   bool Piece(Flow& flow, std::string piece) const { return flow.edge->AnswerPiece(std::move(piece)); }
   Ending Finish(Flow& flow) const;
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -20,9 +20,7 @@
   events.sent = [this, id = flow.id, fed] { Sent(id, fed); };
   if (fed) events.room = [this, id = flow.id] { passing_.room(id); };
   events.answer = [this, key](const Message& head) { passing_.answer(key.first, key.second, head); };
-  events.piece = [this, key](std::string piece) {
-    passing_.piece(key.first, key.second, std::move(piece));
-  };
+  events.piece = [this, key](std::string piece) { passing_.piece(key.first, key.second, std::move(piece)); };
   events.done = [this, key, server = routed.server](ExchangeEnd end) {
     attempts_.erase(key);
     const Outcome outcome = OutcomeOf(end);
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -8,10 +8,10 @@
 
 #include "counters/counters.h"
 #include "flow/flow.h"
+#include "flow/route.h"
 #include "flow/tally.h"
 #include "platform/platform.h"
 #include "server/real_server.h"
-#include "flow/route.h"
 
 namespace umberdyke::net {
 
--- a/src/flow/take_in.h
+++ b/src/flow/take_in.h
@@ -17,8 +17,8 @@
   using Refused = std::function<void(int request_class)>;
   TakeIn(const Platform& platform, Counters& counters, Refused refused)
       : platform_(platform), counters_(counters), refused_(std::move(refused)) {}
-  // Nothing where the message was answered here: the sidecar's own pages and bad requests. `ready` is what the
-  // page of that name says; `leaving` connections end with their next answer.
+  // Nothing where the message was answered here: the sidecar's own pages and bad requests. `ready` is what
+  // the page of that name says; `leaving` connections end with their next answer.
   std::optional<FlowRequest> operator()(EdgeConnection& edge, Message message, bool long_body, bool ready,
                                         bool leaving) const;
   void Refuse(EdgeConnection& edge, Parsed why) const;
--- a/src/flow/tally.h
+++ b/src/flow/tally.h
@@ -1,5 +1,5 @@
-// The operators' figures: what came of the requests of each class, and attempts written whole. Flows are counted
-// at book and attempts where their last byte is written; nobody else counts.
+// The operators' figures: what came of the requests of each class, and attempts written whole. Flows are
+// counted at book and attempts where their last byte is written; nobody else counts.
 #ifndef UMBERDYKE_FLOW_TALLY_H_
 #define UMBERDYKE_FLOW_TALLY_H_
 
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -24,7 +24,8 @@
 std::string PathFor(const std::string& folder, const Address& listen) {
   if (folder.empty()) return "";
   std::string name = PrintAddress(listen);
-  std::replace_if(name.begin(), name.end(), [](char c) { return c == ':' || c == '[' || c == ']'; }, '-');
+  std::replace_if(
+      name.begin(), name.end(), [](char c) { return c == ':' || c == '[' || c == ']'; }, '-');
   return folder + "/umberdyke-" + name + ".sock";
 }
 
@@ -151,7 +152,8 @@
 std::string Handover::Offer() {
   if (predecessor_ != nullptr) {
     const char serving = kServing;
-    if (send(predecessor_->fd(), &serving, 1, MSG_NOSIGNAL | MSG_DONTWAIT) != 1) counters_.Add("handover_untold");
+    if (send(predecessor_->fd(), &serving, 1, MSG_NOSIGNAL | MSG_DONTWAIT) != 1)
+      counters_.Add("handover_untold");
   }
   if (path_.empty()) return "no folder for it (TMPDIR is not set)";
   // Under a name of its own first: whoever asks finds the old socket or the new one, never none.
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -1,8 +1,9 @@
-// Handing the clients' listening socket from the running process of a sidecar to the one that replaces it, by a
-// Unix socket in a folder that both see. docs/note-running.md says why this way.
+// Handing the clients' listening socket from the running process of a sidecar to the one that replaces it, by
+// a Unix socket in a folder that both see. docs/note-running.md says why this way.
 //
-// Knows nothing of flows or limits: it finds the other process, passes the socket, and tells when the other one
-// comes, serves and goes. Whatever is wrong with the folder or the other process leaves an ordinary start.
+// Knows nothing of flows or limits: it finds the other process, passes the socket, and tells when the other
+// one comes, serves and goes. Whatever is wrong with the folder or the other process leaves an ordinary
+// start.
 #ifndef UMBERDYKE_HANDOVER_HANDOVER_H_
 #define UMBERDYKE_HANDOVER_HANDOVER_H_
 
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -14,7 +14,7 @@
 
 namespace umberdyke::net {
 
-constexpr size_t kMostBody = 64 * 1024;         // held whole; a longer one is passed on as it comes, or refused
+constexpr size_t kMostBody = 64 * 1024;  // held whole; a longer one is passed on as it comes, or refused
 constexpr size_t kMostPassed = 48 * 1024 * 1024;  // and no body is longer than this
 constexpr size_t kMostHead = 16 * 1024;
 constexpr int kMostInterim = 8;  // 1xx answers in front of one answer
@@ -57,8 +57,8 @@
   // The connection has ended: kComplete where that is how this message ends.
   Parsed FeedEnd();
   bool begun() const { return begun_; }
-  // A message with a body over kMostBody is no error from now on but a long one, up to kMostPassed: its head is
-  // taken once, then its body piece by piece after each Feed, the last of which says kComplete.
+  // A message with a body over kMostBody is no error from now on but a long one, up to kMostPassed: its head
+  // is taken once, then its body piece by piece after each Feed, the last of which says kComplete.
   void PassLongBodies() { passes_long_ = true; }
   bool is_long() const { return long_; }
   void MakeLong() { long_ = true; }  // though it is short so far: its end may be a while off
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -224,14 +224,17 @@
 }
 
 size_t Stream::unwritten() const {
-  return handle_ == nullptr ? 0 : uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&handle_->uv));
+  return handle_ == nullptr
+             ? 0
+             : uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&handle_->uv));
 }
 
 void Stream::KeepQueueShort() {
   uv_os_fd_t fd = -1;
   const int most = 64 * 1024;
   if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0) {
-    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &most, sizeof most);  // a kernel without it only holds more
+    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &most,
+               sizeof most);  // a kernel without it only holds more
   }
 }
 
@@ -275,7 +278,8 @@
   if (beside) {
     const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const int on = 1;
-    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) status = uv_translate_sys_error(errno);
+    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0)
+      status = uv_translate_sys_error(errno);
     if (status == 0) status = uv_tcp_open(&handle_->uv, fd);
     if (status != 0 && fd >= 0) close(fd);
   }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -170,7 +170,8 @@
   ~Listener() { Close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
-  // Returns an empty text, or what went wrong. `beside`: others that say so too may listen at the same address.
+  // Returns an empty text, or what went wrong. `beside`: others that say so too may listen at the same
+  // address.
   std::string Listen(const Address& address, bool beside = false);
   static bool SaysTaken(const std::string& error);  // another holds the address
   // Listens on a socket that does so already; owns it from now on.
--- a/src/passing/room.h
+++ b/src/passing/room.h
@@ -1,7 +1,8 @@
 // How many bytes the transfers that are under way may hold between them. Pure.
 //
 // A transfer is one long body in one direction. Each has a window: the side that reads stops while that much
-// waits to be written. All windows together hold a quarter of the memory, and one is never too small to work with.
+// waits to be written. All windows together hold a quarter of the memory, and one is never too small to work
+// with.
 #ifndef UMBERDYKE_PASSING_ROOM_H_
 #define UMBERDYKE_PASSING_ROOM_H_
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr Span kSilence = 250ms;     // within an answer that is held whole: what goes on longer is spoilt
-constexpr Span kHoldBack = 100ms;    // for the end of an answer of unknown length, before it is passed on
-constexpr Span kNoProgress = 10s;    // of a long body, in either direction
+constexpr Span kSilence = 250ms;   // within an answer that is held whole: what goes on longer is spoilt
+constexpr Span kHoldBack = 100ms;  // for the end of an answer of unknown length, before it is passed on
+constexpr Span kNoProgress = 10s;  // of a long body, in either direction
 
 }  // namespace
 
@@ -142,7 +142,8 @@
   it->second->timer.Start(kNoProgress);
   if (it->second->connection->stream.Write(std::move(bytes)) != Stream::Wrote::kBroken) return;
   loop_.Post(alive_, [this, id] {
-    if (const auto found = exchanges_.find(id); found != exchanges_.end()) End(*found->second, How::kNotConnected);
+    if (const auto found = exchanges_.find(id); found != exchanges_.end())
+      End(*found->second, How::kNotConnected);
   });
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -21,17 +21,17 @@
 constexpr Span kForget = 60s;        // after this a server that has gone is nobody's business any more
 constexpr Span kAcceptAgain = 50ms;  // while clients wait for a connection to be spared
 constexpr Span kCheckTime = 200ms;
-// Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery, and those
-// set aside for the console's callers, which nobody else may use.
+// Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery, and
+// those set aside for the console's callers, which nobody else may use.
 constexpr int kOtherDescriptors = 24;
 constexpr int kFewestEdges = 4;
 constexpr int kFewestCallers = 8;
 constexpr int kMostCallers = 24;
-// Clients that are sent away: their connections end with an answer; those that ask nothing are left alone for a
-// while, as a close may cross a request, and closed in time for the notice of two seconds.
+// Clients that are sent away: their connections end with an answer; those that ask nothing are left alone for
+// a while, as a close may cross a request, and closed in time for the notice of two seconds.
 constexpr Span kLeaveAlone = 1s;
-constexpr Span kListWait = 1500ms;    // a process that takes over serves once discovery has told, or after this
-constexpr Span kListenAgain = 50ms;   // while another's process holds the address
+constexpr Span kListWait = 1500ms;  // a process that takes over serves once discovery has told, or after this
+constexpr Span kListenAgain = 50ms;  // while another's process holds the address
 constexpr Span kIdleSweep = 100ms;
 constexpr Span kStillIdle = 300ms;
 
@@ -80,8 +80,9 @@
       servers_(loop, ServerLimits(config_), passing_, counters_),
       decisions_(loop, config_, counters_, *this),
       take_in_(platform_, counters_, [this](int request_class) { book_.Refused(request_class); }),
-      admit_(loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); },
-             [this](int request_class) { book_.Refused(request_class); }),
+      admit_(
+          loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); },
+          [this](int request_class) { book_.Refused(request_class); }),
       route_(entry_, config_.settings),
       send_(servers_, route_, platform_, tally_, counters_, config_.settings.parallel_attempts,
             [this](AttemptResult result) { AttemptEnded(std::move(result)); },
@@ -129,9 +130,9 @@
 // With a console the process may be one that replaces another: that one serves until this one can.
 void Sidecar::Begin() {
   if (!config_.console) return BeginServing();
-  handover_ = std::make_unique<Handover>(
-      loop_, config_.runtime_folder, config_.listen, counters_,
-      Handover::Owner{[this] { return listener_.fd(); }, [this] { Shared(); }});
+  handover_ =
+      std::make_unique<Handover>(loop_, config_.runtime_folder, config_.listen, counters_,
+                                 Handover::Owner{[this] { return listener_.fd(); }, [this] { Shared(); }});
   inherited_ = handover_->Ask();
   if (!inherited_) return BeginServing();
   log_->Say(Event::kTakingOver, config_.name + " takes over from a process that serves", {});
@@ -141,7 +142,8 @@
 
 void Sidecar::BeginServing() {
   begin_timer_.Stop();
-  const bool waits = config_.console.has_value();  // there may be a predecessor that knows nothing of all this
+  const bool waits =
+      config_.console.has_value();  // there may be a predecessor that knows nothing of all this
   const std::string error = inherited_ ? listener_.Adopt(*std::exchange(inherited_, std::nullopt))
                                        : listener_.Listen(config_.listen, waits);
   if (!error.empty()) {
@@ -200,7 +202,8 @@
   }
   decisions_.TellList(change);
   const bool told = change.kind != ListUpdate::kFailed && change.kind != ListUpdate::kCached;
-  if (told && inherited_) loop_.Post(alive_, [this] {
+  if (told && inherited_)
+    loop_.Post(alive_, [this] {
       if (inherited_) BeginServing();
     });
   // What leaves gets nothing new: connections at rest there only hold descriptors.
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -89,7 +89,9 @@
   // Connections end with their next answer.
   bool leaving() const { return closing_ || replaced() || life_.state() == Life::State::kDrained; }
   // Told to end while another process of this sidecar takes what comes.
-  bool replaced() const { return life_.state() == Life::State::kEnding && handover_ && handover_->successor(); }
+  bool replaced() const {
+    return life_.state() == Life::State::kEnding && handover_ && handover_->successor();
+  }
 
   Loop& loop_;
   const Config config_;
@@ -120,7 +122,7 @@
   int watch_failures_ = 0;  // in a row
   bool accept_waits_ = false;
   bool closing_ = false;  // told to end, and new connections come no more
-  Time kill_at_{};         // the end that is forced where it has not come by itself
+  Time kill_at_{};        // the end that is forced where it has not come by itself
   std::function<void()> drained_;
   Timer begin_timer_;
   Timer accept_timer_;
--- a/tests/console/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -67,7 +67,8 @@
       {"GET /v1/readyz HTTP/x.1\r\n\r\n", 400},
       {"\x16\x03\x01 rubbish\r\n\r\n", 400},
       {"GET /v1/metrics HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", 400},
-      {"PUT /v1/sidecar/drain HTTP/1.1\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+      {"PUT /v1/sidecar/drain HTTP/1.1\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       400},
       {"GET /v1/metrics HTTP/1.1\r\nA: " + std::string(20'000, 'a') + "\r\n\r\n", 431},
       {"PUT /v1/sidecar/drain HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", 413},
   };
@@ -242,7 +243,8 @@
   ConsoleSite site;
   site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
   CHECK(site.Call("PUT /v1/sidecar/drain").status == 200);
-  site.sidecar->Reload([&] { return ParseConfig(ConfigText(site.discovery.address(), "null"), WithConsole()); });
+  site.sidecar->Reload(
+      [&] { return ParseConfig(ConfigText(site.discovery.address(), "null"), WithConsole()); });
   CHECK(site.Call("GET /v1/readyz").status == 503);
   bool ended = false;
   site.sidecar->End([&] { ended = true; });
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -44,7 +44,8 @@
   int Start(const std::string& run = "run") {
     const int number = static_cast<int>(processes.size());
     const std::string file = (folder / ("config" + std::to_string(number) + ".json")).string();
-    std::string text = ConfigText(discovery.address(), ListText(1, true, {ServerLine("s1", server.address())}));
+    std::string text =
+        ConfigText(discovery.address(), ListText(1, true, {ServerLine("s1", server.address())}));
     text.insert(1, "\"console\":\"" + console(number) + "\",");
     text.replace(text.find("127.0.0.1:0"), 11, listen());
     REQUIRE(files::WriteWhole(file, text).empty());
@@ -55,7 +56,8 @@
     return number;
   }
   std::string Log(int number) const {  // empty until it has begun one
-    return files::ReadWhole((folder / ("config" + std::to_string(number) + ".json.log")).string(), 1 << 20).text;
+    return files::ReadWhole((folder / ("config" + std::to_string(number) + ".json.log")).string(), 1 << 20)
+        .text;
   }
   int Call(int number, const std::string& line, Span most = 1s) {
     Client client(loop, *ParseAddress(console(number)));
@@ -83,7 +85,8 @@
   }
   std::optional<int> Ended(int number, Span most = 6s) {
     std::optional<int> status;
-    loop.RunUntil([&] { return (status = processes[static_cast<size_t>(number)]->Ended()).has_value(); }, most);
+    loop.RunUntil([&] { return (status = processes[static_cast<size_t>(number)]->Ended()).has_value(); },
+                  most);
     return status;
   }
   void Tell(int number, int signal) { processes[static_cast<size_t>(number)]->Tell(signal); }
@@ -99,7 +102,8 @@
 // Clients that keep their connections and open new ones, and count what becomes of every request.
 class Load {
  public:
-  Load(Place& place, int kept) : place_(place), kept_(static_cast<size_t>(kept)), timer_(place.loop, [this] { Step(); }) {
+  Load(Place& place, int kept)
+      : place_(place), kept_(static_cast<size_t>(kept)), timer_(place.loop, [this] { Step(); }) {
     timer_.Start(2ms);
   }
   void Stop() { stopping_ = true; }
@@ -179,9 +183,7 @@
 TEST_CASE("whatever stands in the way leaves an ordinary start", "[handover]") {
   Place place;
   const std::string path = (place.folder / "run" / ("umberdyke-" + place.host + "-8081.sock")).string();
-  SECTION("leftovers that are no socket") {
-    REQUIRE(files::WriteWhole(path, "left by somebody").empty());
-  }
+  SECTION("leftovers that are no socket") { REQUIRE(files::WriteWhole(path, "left by somebody").empty()); }
   SECTION("a folder under its name") { fs::create_directories(path + "/deep"); }
   SECTION("no folder at all") { fs::remove_all(place.folder / "run"); }
   SECTION("a socket that nobody listens on") {
@@ -288,7 +290,8 @@
   CHECK(place.Log(next).find("shares its limits with another") != std::string::npos);
   place.Tell(old, SIGTERM);
   CHECK(place.Ended(old) == 0);
-  CHECK(place.loop.RunUntil([&] { return place.Log(next).find("its limits to itself") != std::string::npos; }, 3s));
+  CHECK(place.loop.RunUntil([&] { return place.Log(next).find("its limits to itself") != std::string::npos; },
+                            3s));
 }
 
 }  // namespace
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -65,11 +65,13 @@
       "Content-Length: 5\r\nTransfer-Encoding:\tchunked",
       "Content-Length: 5\r\nTransfer-Encoding: chunked, identity",
       "Content-Length: 5\r\nTransfer-Encoding:\r\n chunked",
-      "Content-Length: 5\r\nTransfer-Encoding: \x0b" "chunked",
+      "Content-Length: 5\r\nTransfer-Encoding: \x0b"
+      "chunked",
       "Content-Length: 5\r\nTransfer-Encoding : chunked",
       "Content-Length: 5\r\nTransfer-Encoding",
       "Content-Length: 5\r\nX: a\rTransfer-Encoding: chunked",
-      "Content-Length: 5\r\nX: a\x01" "b",
+      "Content-Length: 5\r\nX: a\x01"
+      "b",
       "Transfer-Encoding: identity",
       "Transfer-Encoding: gzip, chunked",
       "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
@@ -93,7 +95,8 @@
 TEST_CASE("white space round a header's value is no part of it", "[http]") {
   HttpParser parser(HttpParser::Kind::kRequest);
   const std::string text =
-      "POST /api HTTP/1.1\r\nA:  b \t \r\nB:\t\r\nTransfer-Encoding: chunked \r\n\r\n2;x=1\r\nok\r\n0\r\nA: c\r\n\r\n";
+      "POST /api HTTP/1.1\r\nA:  b \t \r\nB:\t\r\nTransfer-Encoding: chunked \r\n\r\n2;x=1\r\nok\r\n0\r\nA: "
+      "c\r\n\r\n";
   size_t used = 0;
   REQUIRE(parser.Feed(text, &used) == Parsed::kComplete);
   const Message message = parser.Take();
@@ -218,10 +221,9 @@
 TEST_CASE("load reports and list lines that make no sense are left out", "[platform]") {
   const Config config = ParseConfig(ConfigText("127.0.0.1:1", "null"), NoEnvironment());
   const Platform platform(config);
-  for (const char* bad :
-       {"", "{", "[]", "7", R"({"inflight":"x"})", R"({"util":0.5})", R"({"inflight":-3})", R"({"queue":1})",
-        R"({"inflight":-3,"queue":2})", R"({"inflight":7,"queue":1e15})", R"({"inflight":7,"que)",
-        R"({"inflight":null,"queue":2})"}) {
+  for (const char* bad : {"", "{", "[]", "7", R"({"inflight":"x"})", R"({"util":0.5})", R"({"inflight":-3})",
+                          R"({"queue":1})", R"({"inflight":-3,"queue":2})", R"({"inflight":7,"queue":1e15})",
+                          R"({"inflight":7,"que)", R"({"inflight":null,"queue":2})"}) {
     Message answer;
     answer.headers = {{"X-Server-Load", bad}};
     INFO(bad);
--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "sidecar/sidecar.h"
 #include "party.h"
+#include "sidecar/sidecar.h"
 
 namespace umberdyke::net {
 
@@ -108,8 +108,7 @@
       lines.push_back(ServerLine("s" + std::to_string(i), real.back()->address()));
     }
     const std::string text = ConfigText(discovery.address(), ListText(1, true, lines), descriptors);
-    sidecar = std::make_unique<Sidecar>(
-        loop, ParseConfig(text, environment), log::NoLog());
+    sidecar = std::make_unique<Sidecar>(loop, ParseConfig(text, environment), log::NoLog());
   }
   void Script(std::function<void(Party::Peer&)> script) {
     for (auto& server : real) server->script = script;
--- a/tests/passing/passing_test.cpp
+++ b/tests/passing/passing_test.cpp
@@ -1,5 +1,5 @@
-// Long bodies and answers on real sockets: whole, in any framing and pace, with bounded memory, and what becomes of
-// those that break off.
+// Long bodies and answers on real sockets: whole, in any framing and pace, with bounded memory, and what
+// becomes of those that break off.
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -27,7 +27,8 @@
 }
 
 std::string LongHand(const std::string& framing, const std::string& more = "") {
-  return "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: big\r\nX-Priority-Class: hand\r\nX-Tenant-Id: acme\r\n"
+  return "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: big\r\nX-Priority-Class: hand\r\nX-Tenant-Id: "
+         "acme\r\n"
          "X-Timeout-Ms: 4000\r\nIdempotency-Key: k\r\n" +
          more + framing + "\r\n\r\n";
 }
@@ -258,9 +259,8 @@
 TEST_CASE("a client that does not read stops the server, and gets the rest when it does", "[passing]") {
   Site site(1);
   const std::string body = Pattern(16'000'000);
-  site.Script([&](Party::Peer& peer) {
-    peer.Reply("HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n" + body);
-  });
+  site.Script(
+      [&](Party::Peer& peer) { peer.Reply("HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n" + body); });
   Raw client(site.loop, site.sidecar->address());
   client.early = Look();
   REQUIRE(site.Until([&] { return !client.got.empty(); }));
