--- a/src/config/application.cpp
+++ b/src/config/application.cpp
@@ -259,6 +259,7 @@
     sidecar.host = r.Text("host", Need::kRequired);
     sidecar.listen = AddressText(r, "listen", Need::kRequired);
     sidecar.peer_listen = AddressText(r, "peer_listen", Need::kOptional);
+    sidecar.console = AddressText(r, "console", Need::kOptional);
     sidecar.limits = Limits(r, app_.limits);
     r.Finish();
     app_.sidecars.push_back(std::move(sidecar));
--- a/src/config/application.h
+++ b/src/config/application.h
@@ -81,6 +81,7 @@
   Placed<std::string> host;
   Placed<std::string> listen;
   Placed<std::string> peer_listen;
+  Placed<std::string> console;  // the operators' address; absent: none is opened
   RequestLimits limits;
 };
 
--- a/src/config/check_application.cpp
+++ b/src/config/check_application.cpp
@@ -289,10 +289,12 @@
     Defined("tier", s.tier, Values(Names(app_.tiers)));
     if (Defined("host", s.host, Values(Names(app_.hosts)))) {
       const HostText* host = app_.Host(s.host.value);
-      for (const auto* listen : {&s.listen, &s.peer_listen}) {
+      for (const auto* listen : {&s.listen, &s.peer_listen, &s.console}) {
         const auto at = ParseHostPort(listen->value);
         const auto home = ParseHostPort(host->address.value + ":1");
         if (!listen->given || !at || !home || at->host == home->host) continue;
+        // Operators may well want theirs for the host's own users alone.
+        if (listen == &s.console && (at->host.starts_with("127.") || at->host == "[::1]")) continue;
         Tell(listen->place, "address-not-of-host",
              name + " listens on " + listen->value + ", but host " + Quoted(host->name.value) + " is " +
                  host->address.value);
--- a/src/config/check_sidecar.cpp
+++ b/src/config/check_sidecar.cpp
@@ -47,13 +47,21 @@
     result_.host = file.Text("host", Need::kOptional);
     result_.name = Told(file, "name", "ROUTER_NAME");
     result_.listen = Told(file, "listen", "ROUTER_LISTEN");
+    const auto console = variables_("ROUTER_CONSOLE");
+    result_.console = console && !console->empty() ? Told(file, "console", "ROUTER_CONSOLE")
+                                                   : file.Text("console", Need::kOptional);
+    if (result_.console.given && result_.console.value == result_.listen.value) {
+      file.Tell(result_.console.place, "address-taken",
+                "console is " + Quoted(result_.console.value) + ", where clients connect");
+    }
     const Member* membership = file.Table("membership", Need::kOptional);
     const auto discovery = membership == nullptr ? Told(file, "discovery", "ROUTER_DISCOVERY")
                                                  : file.Text("discovery", Need::kOptional);
     if (membership != nullptr) Membership(*membership);
     result_.peer_listen = file.Text("peer_listen", Need::kOptional);
     const auto peers = file.Texts("peers", Need::kOptional);
-    for (const Placed<std::string>& address : {result_.listen, discovery, result_.peer_listen})
+    for (const Placed<std::string>& address :
+         {result_.listen, result_.console, discovery, result_.peer_listen})
       Address(file, address);
     for (const auto& peer : peers) Address(file, peer);
     Seed(file);
@@ -383,6 +391,7 @@
   };
   for (const SidecarFile& file : files) {
     address(streams, file, file.listen, "the address");
+    address(streams, file, file.console, "the console address");
     address(datagrams, file, file.peer_listen, "the peer address");
     if (!file.host.given || !file.name.given) continue;
     claim(names, file.host.value + " " + file.name.value, file, file.name, "name-taken",
--- a/src/config/check_together.cpp
+++ b/src/config/check_together.cpp
@@ -91,6 +91,8 @@
     record.cores += s.limits.cores.value;
     Claim(record.names, s.name.value, holder, s.name, "name-taken", "the name");
     Claim(record.streams, Canonical(s.listen.value), holder, s.listen, "address-taken", "the address");
+    Claim(record.streams, Canonical(s.console.value), holder, s.console, "address-taken",
+          "the console address");
     Claim(record.datagrams, Canonical(s.peer_listen.value), holder, s.peer_listen, "address-taken",
           "the peer address");
   }
--- a/src/config/sidecar_file.h
+++ b/src/config/sidecar_file.h
@@ -48,7 +48,7 @@
 struct SidecarFile {
   std::string file;
   int format = 1;
-  Placed<std::string> name, application, host, listen, peer_listen;
+  Placed<std::string> name, application, host, listen, console, peer_listen;
 };
 
 // Checks one file. Absent where it cannot be read or is of a newer format.
--- a/src/config/write_sidecar.cpp
+++ b/src/config/write_sidecar.cpp
@@ -61,6 +61,7 @@
     json["host"] = sidecar.host.value;
     json["name"] = sidecar.name.value;
     json["listen"] = sidecar.listen.value;
+    if (sidecar.console.given) json["console"] = sidecar.console.value;
     Source(*app_.Tier(sidecar.tier.value), sidecar, &json);
     json["log"] = {{"format", app_.log_format}, {"level", app_.log_level}};
     json["limits"] = {{"cores", sidecar.limits.cores.value},
