--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -440,6 +440,8 @@
             config_.name + " was told to end: " + std::to_string(flows_.size()) + " flows are open",
             {{"open_flows", static_cast<std::int64_t>(flows_.size())}});
   source_->Withdraw();
+  begin_timer_.Stop();  // one that has not begun yet never does
+  if (inherited_) close(*std::exchange(inherited_, std::nullopt));
   if (replaced()) listener_.Close();  // what waits in its queue is the other process's
   kill_at_ = Clock::now() + KillTime(config_.settings);
   close_timer_.Start(ServeOn(config_.settings));
