--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -116,6 +116,16 @@
     balancer().OnAttemptEnd(now, end, &actions);
     Take(actions);
   }
+  void Body(RequestId id, std::optional<Micros> left) {
+    Actions actions;
+    balancer().OnBody(now, id, left, &actions);
+    Take(actions);
+  }
+  void AnswerBegins(RequestId id) {
+    Actions actions;
+    balancer().OnStreamStart(now, id, 0, &actions);
+    Take(actions);
+  }
   // Answers the checks that are out with the counts given, and returns whom they asked.
   template <typename CountOf>
   std::vector<UpstreamId> AnswerChecks(CountOf count_of) {
@@ -365,7 +375,7 @@
     if (what >= 35 && what < 75 && !d.outs.empty()) {
       static constexpr Outcome kAll[] = {Outcome::kOk,       Outcome::kOk,      Outcome::kError,
                                          Outcome::kRejected, Outcome::kTimeout, Outcome::kConnectFailed,
-                                         Outcome::kReset,    Outcome::kSpoilt, Outcome::kUnfit};
+                                         Outcome::kReset,    Outcome::kSpoilt,  Outcome::kUnfit};
       d.EndOut(random() % d.outs.size(), kAll[random() % 9], static_cast<double>(random() % 20));
     }
     if (what == 75) list();
@@ -1334,6 +1344,65 @@
   EXPECT_GT(refused_at(1'800'000), 40u);
 }
 
+// Guards against seconds of a client's slow sending that pass for a server's silence, and against sending
+// again what is not kept.
+TEST(LongBodyTest, IsNotTimedWhileItPassesNorSentAgain) {
+  Driver d(BasicSettings());
+  d.List(Many(4));
+  for (RequestId id = 1; id <= 20; ++id) {  // answers take 20 ms: a call that is silent for 200 is stalled
+    d.Arrive(id);
+    d.Advance(20'000);
+    d.End(id, Outcome::kOk);
+  }
+  d.Arrive(100);
+  ASSERT_EQ(d.outs.size(), 1u);
+  const UpstreamId server = d.outs[0].upstream;
+  d.Body(100, std::nullopt);
+  d.Advance(5 * kSecond);
+  ASSERT_EQ(d.outs.size(), 1u);
+  EXPECT_FALSE(d.outs[0].cancelled);
+  EXPECT_EQ(d.balancer().Avoided(d.now), 0);
+  EXPECT_EQ(d.finals[100], 0);
+  d.deadlines[100] = d.now + 6 * kSecond;
+  d.Body(100, 6 * kSecond);  // its time begins
+  d.Advance(20'000);
+  d.End(100, Outcome::kReset);
+  EXPECT_TRUE(d.outs.empty());  // it can't go elsewhere
+  EXPECT_EQ(d.finals[100], 1);
+  d.Arrive(101);  // and its five seconds are nobody's delay
+  EXPECT_EQ(d.finals[101], 0);
+  EXPECT_NE(server, 0u);
+}
+
+// Guards against a long answer that is called off, or whose length passes for the time that an answer takes.
+TEST(LongBodyTest, AnAnswerUnderWayIsNoStallAndItsTimeIsItsBeginning) {
+  Driver d(BasicSettings());
+  d.List(Many(4));
+  for (RequestId id = 1; id <= 100; ++id) {
+    d.Arrive(id);
+    d.Advance(20'000);
+    d.End(id, Outcome::kOk);
+  }
+  for (RequestId id = 200; id < 210; ++id) {
+    d.Arrive(id);
+    d.Advance(20'000);
+    d.AnswerBegins(id);
+    d.finals[id] = 1;
+    d.final_at[id] = d.now;
+  }
+  d.Advance(3 * kSecond);
+  EXPECT_EQ(d.outs.size(), 10u);
+  for (const Driver::Out& out : d.outs) EXPECT_FALSE(out.cancelled);
+  EXPECT_EQ(d.balancer().Avoided(d.now), 0);
+  while (!d.outs.empty()) d.EndOut(0, Outcome::kOk);
+  for (RequestId id = 300; id < 320; ++id) {  // nothing is refused for the seconds that they took
+    d.Arrive(id);
+    EXPECT_EQ(d.finals[id], 0);
+    d.Advance(20'000);
+    if (d.finals[id] == 0) d.End(id, Outcome::kOk);
+  }
+}
+
 TEST(DeterminismTest, SameEventsSameActionsWhateverTheIds) {
   const auto trace = [](UpstreamId base) {
     Driver d(BasicSettings(), 77);
