--- a/src/lab/common/process.cpp
+++ b/src/lab/common/process.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 namespace umberdyke::lab {
@@ -18,8 +19,8 @@
   pid_ = fork();
   if (pid_ != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);  // it never outlives whoever started it, however that one ends
-  for (const char* name : {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY",
-                           "ROUTER_CONSOLE"})
+  for (const char* name :
+       {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONSOLE"})
     unsetenv(name);
   if (std::freopen(log.c_str(), "w", stderr) == nullptr) _exit(126);
   execvp(argv[0], argv.data());
@@ -36,6 +37,25 @@
   if (pid_ > 0) kill(pid_, signal);  // 0 and -1 would reach others
 }
 
+double Process::PeakMb() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string word; file >> word;) {
+    double kilobytes = 0;
+    if (word == "VmHWM:" && file >> kilobytes) return kilobytes * 1024 / 1e6;
+  }
+  return 0;
+}
+
+int Process::Descriptors() const {
+  std::error_code error;
+  int count = 0;
+  for (std::filesystem::directory_iterator it("/proc/" + std::to_string(pid_) + "/fd", error), end;
+       !error && it != end; it.increment(error)) {
+    ++count;
+  }
+  return count;
+}
+
 std::optional<int> Process::Ended() {
   int status = 0;
   if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return ended_;
--- a/src/lab/common/process.h
+++ b/src/lab/common/process.h
@@ -24,6 +24,10 @@
   Process& operator=(const Process&) = delete;
 
   void Tell(int signal) const;
+  // The most memory that it has held so far in millions of bytes, and its open descriptors; 0 once it has
+  // ended.
+  double PeakMb() const;
+  int Descriptors() const;
   // Its exit status once it has ended; 128 where a signal ended it.
   std::optional<int> Ended();
 
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 
@@ -41,13 +42,14 @@
   std::string console(int number) const { return host + ":" + std::to_string(9800 + number); }
 
   // The next process of the sidecar; its number names its console.
-  int Start(const std::string& run = "run") {
+  int Start(const std::string& run = "run", const std::string& limits = "") {
     const int number = static_cast<int>(processes.size());
     const std::string file = (folder / ("config" + std::to_string(number) + ".json")).string();
     std::string text =
         ConfigText(discovery.address(), ListText(1, true, {ServerLine("s1", server.address())}));
     text.insert(1, "\"console\":\"" + console(number) + "\",");
     text.replace(text.find("127.0.0.1:0"), 11, listen());
+    if (!limits.empty()) text.replace(text.find("{\"sockets\":1024}"), 16, limits);
     // Between tiers nothing is turned away for the time it takes: here that is microseconds, and then a
     // hiccup.
     text.replace(text.find("\"tier\":0"), 8, "\"tier\":1");
@@ -289,6 +291,47 @@
   CHECK(place.Ask() == 200);
 }
 
+// Guards against memory that grows with long bodies, and a console that waits for them: many at once in both
+// directions, with readers and writers that stop, under half of the usual limits.
+TEST_CASE("long bodies stay within half of the limits, and the console answers beside them", "[handover]") {
+  Place place;
+  const std::string body(3'000'000, 'x');
+  place.server.script = [&](Party::Peer& peer) { peer.Answer(200, body); };
+  const int sidecar = place.Start("run", R"({"sockets":192,"memory_mb":24})");
+  REQUIRE(place.Ready(sidecar));
+  std::vector<std::unique_ptr<Client>> readers, writers, silent;
+  for (int i = 0; i < 30; ++i) {  // they take the head and no more, for now
+    readers.push_back(std::make_unique<Client>(place.loop, *ParseAddress(place.listen())));
+    readers.back()->Send(place.Request());
+    REQUIRE(place.loop.RunUntil([&] { return readers.back()->up; }, 3s));
+    readers.back()->stream.Pause();
+  }
+  for (int i = 0; i < 20; ++i) {
+    std::string head = Hand();
+    head.replace(head.find("b2"), 2, "w" + std::to_string(i));
+    head.replace(head.find("Content-Length: 4"), 17, "Content-Length: 3000000");
+    writers.push_back(std::make_unique<Client>(place.loop, *ParseAddress(place.listen())));
+    writers.back()->Send(head + std::string(1'000'000, 'y'));
+  }
+  Span longest{};
+  for (int i = 0; i < 60; ++i) {
+    silent.push_back(std::make_unique<Client>(place.loop, *ParseAddress(place.console(sidecar))));
+    const Time start = Clock::now();
+    CHECK(place.Call(sidecar, "GET /v1/metrics") == 200);
+    longest = std::max(longest, Clock::now() - start);
+  }
+  const double peak = place.processes[0]->PeakMb();
+  const int descriptors = place.processes[0]->Descriptors();
+  std::printf("long bodies: 50 at once, peak %.1f MB, %d descriptors, longest call %.1f ms\n", peak,
+              descriptors, std::chrono::duration<double, std::milli>(longest).count());
+  CHECK(longest < 1s);
+  CHECK(descriptors <= 192);
+  CHECK(descriptors >= 50);
+#ifndef __SANITIZE_ADDRESS__
+  CHECK(peak < 24);
+#endif
+}
+
 // Guards against two processes that together hold more than one sidecar may.
 TEST_CASE("two processes share a sidecar's descriptors and say who serves", "[handover]") {
   Place place;
