Refuse chunks in a request of HTTP/1.0, which may be understood in two ways

RFC 9112 calls that framing faulty; who passes it on may hide a request in its body. A case in the parser's table fails without it.

--- a/src/http1/http.cpp
+++ b/src/http1/http.cpp
@@ -120,7 +120,9 @@
   }
   // What this file and the parser below it make of the coding has to be the same.
   const bool chunked = (parser_.flags & F_CHUNKED) != 0;
-  return lengths + codings > 1 || chunked != (codings > 0);
+  // Before HTTP/1.1 there were no chunks: who sends them so may be understood in two ways.
+  const bool early = kind_ == Kind::kRequest && parser_.http_major == 1 && parser_.http_minor == 0;
+  return lengths + codings > 1 || chunked != (codings > 0) || (early && codings > 0);
 }
 
 int HttpParser::EndHead() {
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -192,6 +192,15 @@
   CHECK(place.Ask() == 200);
 }
 
+int Bound(const std::string& path) {
+  const int fd = socket(AF_UNIX, SOCK_STREAM, 0);
+  sockaddr_un address{};
+  address.sun_family = AF_UNIX;
+  path.copy(address.sun_path, sizeof address.sun_path - 1);
+  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+  return fd;
+}
+
 // Guards against a start that depends on what somebody left behind, or on who holds the address.
 TEST_CASE("whatever stands in the way leaves an ordinary start", "[handover]") {
   Place place;
@@ -199,20 +208,9 @@
   SECTION("leftovers that are no socket") { REQUIRE(files::WriteWhole(path, "left by somebody").empty()); }
   SECTION("a folder under its name") { fs::create_directories(path + "/deep"); }
   SECTION("no folder at all") { fs::remove_all(place.folder / "run"); }
-  SECTION("a socket that nobody listens on") {
-    const int fd = socket(AF_UNIX, SOCK_STREAM, 0);
-    sockaddr_un address{};
-    address.sun_family = AF_UNIX;
-    path.copy(address.sun_path, sizeof address.sun_path - 1);
-    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    close(fd);
-  }
+  SECTION("a socket that nobody listens on") { close(Bound(path)); }
   SECTION("somebody who takes the call and says nothing") {
-    const int fd = socket(AF_UNIX, SOCK_STREAM, 0);
-    sockaddr_un address{};
-    address.sun_family = AF_UNIX;
-    path.copy(address.sun_path, sizeof address.sun_path - 1);
-    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    const int fd = Bound(path);
     REQUIRE(listen(fd, 4) == 0);
     const int first = place.Start();
     CHECK(place.Ready(first));
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -150,6 +150,13 @@
   CHECK(cut.FeedEnd() == Parsed::kMalformed);
 }
 
+TEST_CASE("chunks in a request of HTTP/1.0 are malformed", "[http]") {
+  HttpParser parser(HttpParser::Kind::kRequest);
+  size_t used = 0;
+  CHECK(parser.Feed("POST /api HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", &used) ==
+        Parsed::kMalformed);
+}
+
 TEST_CASE("asking for another protocol changes nothing", "[http]") {
   for (const char* method : {"POST", "CONNECT"}) {
     HttpParser parser(HttpParser::Kind::kRequest);
