Test bad and left long bodies, and discovery that moves during a replacement

A body whose chunks turn bad ends as 400 and its attempt unfinished, once; so does one whose client leaves. Discovery moves for both processes while the old one, drained, is being replaced.

--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -289,6 +289,38 @@
   CHECK(place.Ask() == 200);
 }
 
+// Guards against a list that grows old in either process because the other one was there.
+TEST_CASE("discovery may move while a process is replaced, and a drain may be under way", "[handover]") {
+  Place place;
+  const int old = place.Start();
+  REQUIRE(place.Ready(old));
+  CHECK(place.Call(old, "PUT /v1/sidecar/drain") == 200);
+  const int next = place.Start();
+  REQUIRE(place.Ready(next));  // the drain was the old one's
+  Party moved(place.loop), fresh(place.loop);
+  fresh.script = [](Party::Peer& peer) { peer.Answer(200, "new"); };
+  moved.script = [&](Party::Peer& peer) {
+    const std::string line = ListText(9, true, {ServerLine("s2", fresh.address())}) + "\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
+  };
+  for (const int number : {old, next}) {
+    const std::string file = (place.folder / ("config" + std::to_string(number) + ".json")).string();
+    const std::string text = config::TextOf(file);
+    REQUIRE(
+        files::WriteWhole(file, config::Edited(text, place.discovery.address(), moved.address())).empty());
+    place.Tell(number, SIGHUP);
+  }
+  place.Tell(old, SIGTERM);
+  REQUIRE(place.loop.RunUntil([&] { return moved.requests >= 1; }, 5s));
+  place.loop.RunUntil([] { return false; }, 300ms);
+  for (int i = 0; i < 5; ++i) CHECK(place.Ask() == 200);
+  CHECK(fresh.requests >= 5);
+  CHECK(place.Ended(old) == 0);
+  CHECK(place.Ask() == 200);
+}
+
 // Guards against memory that grows with long bodies, and a console that waits for them: many at once in both
 // directions, with readers and writers that stop, under half of the usual limits.
 TEST_CASE("long bodies stay within half of the limits, and the console answers beside them", "[handover]") {
--- a/tests/passing/passing_test.cpp
+++ b/tests/passing/passing_test.cpp
@@ -172,6 +172,35 @@
   CHECK(site.sidecar->counters().Of("attempts_sent") == 1);
 }
 
+// Guards against passing on as whole what is no body, and against an attempt that outlives its request.
+TEST_CASE("a long body that turns bad, or whose client leaves, ends its attempt unfinished", "[passing]") {
+  for (const bool leaves : {false, true}) {
+    INFO(leaves);
+    SinkSite site;
+    const auto client = site.Connect();
+    client->Send(LongHand("Transfer-Encoding: chunked"));
+    REQUIRE(site.Until([&] { return client->up; }));
+    std::string good = Chunked(std::string(200'000, 'x'), 10'000);
+    good.resize(good.find("0\r\nX-Trailer"));
+    client->Send(good);
+    REQUIRE(site.Until([&] { return site.sink.body.size() > 100'000; }));
+    if (leaves) {
+      client->stream.Close();
+    } else {
+      client->Send("zz\r\nno chunk\r\n0\r\n\r\n" + Look());
+      REQUIRE(site.Until([&] { return client->ended; }));
+      REQUIRE(client->answers.size() == 1);  // and what follows is no request
+      CHECK(client->answers[0].status == 400);
+    }
+    REQUIRE(site.Until([&] { return site.sink.ended; }));
+    CHECK(site.sink.heads.empty());  // the server never saw an end of it
+    CHECK(site.sink.connections == 1);
+    CHECK(site.sidecar->counters().Of("attempts_sent") == 1);
+    CHECK(site.sidecar->counters().Of("invariant_broken") == 0);
+    CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
+  }
+}
+
 // Guards against waiting for the whole of a body whose server has refused it.
 TEST_CASE("an answer that comes before the body is whole ends the request", "[passing]") {
   SinkSite site;
