--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -64,7 +64,6 @@
 constexpr double kMostOverQuiet = 2.5;   // nor a larger multiple: servers choke by what they hold
 constexpr double kMostOfAim = 0.6;       // but never more of the aim: a crowded start passes for quiet
 constexpr double kThroughputTime = 1e6;  // memory of the rate of answers
-constexpr double kRateKnown = 0.85;      // share of it that has to be seen since a lull: 2 s
 constexpr double kSteadyGain = 0.02;     // the quiet answer time is the least of a mean this steady
 constexpr double kQuietRise = 1.002;     // a step up of the quiet answer time: it forgets in half a minute
 constexpr double kStartPerUpstream = 6;  // in hand before any answer, for each upstream, over all balancers
@@ -1017,22 +1016,21 @@
   // some room beyond its own, lest a crowd chokes the servers before the first answer.
   void AdjustLimit(double elapsed) {
     const double keep = std::exp(-elapsed / kThroughputTime);
-    if (live_ == 0 && recent_answers_ < 1) recent_answers_ = recent_time_ = 0;  // a lull is no slowness
     recent_answers_ = keep * recent_answers_ + answered_;
     recent_time_ = keep * recent_time_ + elapsed;
-    answers_seen_ = std::min(answers_seen_ + answered_, kAnswersFirst);
+    answers_seen_ += answered_;
     answered_ = 0;
     const double servers = static_cast<double>(ready_.size()) / settings_.balancers;
     const double start = limit_ = kStartPerUpstream * servers + kStartGrowth * answers_seen_;
     // What comes to one copy of many varies by chance, from the first second on.
     slack_ = kLimitSlack * std::sqrt(limit_ * (1 - 1.0 / settings_.balancers));
-    if (latency_ <= 0) return void(recent_time_ = 0);
+    if (latency_ <= 0) recent_time_ = 0;
+    if (latency_ <= 0) return;
     const bool starting = answers_seen_ < kAnswersFirst;
     quiet_ = starting ? steady_ : std::min(quiet_ * kQuietRise, steady_);
     may_take_ = std::max(std::min(kAimShare * aim_, kMostOverQuiet * quiet_),
                          std::min(kOverQuiet * quiet_, kMostOfAim * aim_));
-    const bool unknown = starting || recent_time_ < kRateKnown * kThroughputTime;
-    limit_ = std::max(recent_answers_ / recent_time_ * may_take_, unknown ? start : 0);
+    limit_ = std::max(recent_answers_ / recent_time_ * may_take_, starting ? start : 0);
     if (answers_seen_ >= kAnswersTell) slack_ = kLimitSlack * std::sqrt(limit_) + 1;
   }
 
