Say each once: a later end, 100 Continue, the end of a transfer; copy no request twice

On reading the change over: three copies of ending an exchange later are EndLater; 100 Continue was written in two places; a kept_alive beside the head that tells it, and a parameter that is always the connection's excess, are gone; an attempt's request was copied once more on its way out; the console's variable goes through Told like the others.

--- a/src/config/check_sidecar.cpp
+++ b/src/config/check_sidecar.cpp
@@ -47,9 +47,7 @@
     result_.host = file.Text("host", Need::kOptional);
     result_.name = Told(file, "name", "ROUTER_NAME");
     result_.listen = Told(file, "listen", "ROUTER_LISTEN");
-    const auto console = variables_("ROUTER_CONSOLE");
-    result_.console = console && !console->empty() ? Told(file, "console", "ROUTER_CONSOLE")
-                                                   : file.Text("console", Need::kOptional);
+    result_.console = Told(file, "console", "ROUTER_CONSOLE", Need::kOptional);
     if (result_.console.given && result_.console.value == result_.listen.value) {
       file.Tell(result_.console.place, "address-taken",
                 "console is " + Quoted(result_.console.value) + ", where clients connect");
@@ -83,9 +81,10 @@
   // Format 1 may hold more than anybody here knows; a slip of the pen is told all the same.
   void Finish(Reader& reader) const { reader.Finish(result_.format < kSidecarFormat); }
 
-  Placed<std::string> Told(Reader& reader, const std::string& key, const std::string& variable) {
+  Placed<std::string> Told(Reader& reader, const std::string& key, const std::string& variable,
+                           Need need = Need::kRequired) {
     const auto set = variables_(variable);
-    if (!set || set->empty()) return reader.Text(key, Need::kRequired);
+    if (!set || set->empty()) return reader.Text(key, need);
     Placed<std::string> value = reader.Text(key, Need::kOptional);
     value.value = *set;
     value.given = true;
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -82,13 +82,11 @@
 }
 
 // Answered ones only linger; of the others the oldest has had the longest time to send its call.
-bool Console::MakeRoom() {
+void Console::MakeRoom() {
   auto it = std::find_if(callers_.begin(), callers_.end(), [](const auto& c) { return c->answered(); });
   if (it == callers_.end()) it = callers_.begin();
-  if (it == callers_.end()) return false;
   counters_.Add("console_shed");
   Leave(**it);
-  return true;
 }
 
 std::string Console::AnswerTo(const Message& message) {
--- a/src/console/console.h
+++ b/src/console/console.h
@@ -36,14 +36,13 @@
   // Returns an empty text, or what went wrong.
   std::string Listen(const Address& address) { return listener_.Listen(address); }
   Address address() const { return listener_.address(); }
-  size_t callers() const { return callers_.size(); }
 
  private:
   class Caller;
   void Come();
   std::string AnswerTo(const Message& message);
   void Leave(Caller& caller);
-  bool MakeRoom();
+  void MakeRoom();
 
   Loop& loop_;
   ConsoleOwner& owner_;
--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_connection.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace umberdyke::net {
 namespace {
@@ -27,9 +28,11 @@
   parser_.PassLongBodies();
 }
 
-EdgeConnection::~EdgeConnection() {
-  if (taking_) passing_.End();
-  if (answering_) passing_.End();
+EdgeConnection::~EdgeConnection() { EndPassing(); }
+
+void EdgeConnection::EndPassing() {
+  if (std::exchange(taking_, false)) passing_.End();
+  if (std::exchange(answering_, false)) passing_.End();
 }
 
 bool EdgeConnection::Accept(Listener& listener) {
@@ -68,7 +71,7 @@
   if (parsed == Parsed::kMore) {
     if (parser_.head_done() && !had_head) {
       slowest_ = Clock::now() + kBodyBegins;
-      Continue();
+      if (parser_.message().Find("Expect") != nullptr) Continue();
     }
     if (parser_.head_done()) {
       Credit(used);
@@ -115,9 +118,7 @@
   if (!first) return owner_.OnBody(*this);
   const bool wants_continue = head.Find("Expect") != nullptr;
   owner_.OnLongRequest(*this, std::move(head));
-  if (wants_continue && state_ == State::kTaking && !std::exchange(continued_, true)) {
-    stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
-  }
+  if (wants_continue && state_ == State::kTaking) Continue();
 }
 
 // What comes puts the end of patience off, by the time that the slowest may take for it.
@@ -130,8 +131,7 @@
 
 // A client that asks first gets its answer before the body that it holds back.
 void EdgeConnection::Continue() {
-  if (parser_.message().Find("Expect") == nullptr || std::exchange(continued_, true)) return;
-  stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+  if (!std::exchange(continued_, true)) stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 std::string EdgeConnection::TakeBody() {
@@ -215,9 +215,8 @@
   answered_ = true;
   rested_ = Clock::now();
   const bool unwanted = taking_ && !body_whole_;
-  if (taking_) passing_.End();
-  if (answering_) passing_.End();
-  taking_ = answering_ = ending_ = continued_ = body_whole_ = false;
+  EndPassing();
+  ending_ = continued_ = body_whole_ = false;
   body_.clear();
   if (closing_) {
     state_ = State::kLingering;
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -76,6 +76,7 @@
   void TakeMore(Parsed parsed);
   void Credit(size_t bytes);
   void Continue();
+  void EndPassing();
   void Finish();
   void Late();
   bool Write(std::string bytes);
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -26,9 +26,9 @@
     const Outcome outcome = OutcomeOf(end);
     done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
   };
-  const std::string request = platform_.RequestFor(flow.request, wait);
+  std::string request = platform_.RequestFor(flow.request, wait);
   const ExchangeId exchange =
-      servers_.Start(routed.server, routed.address, request, routed.wait, std::move(events), fed);
+      servers_.Start(routed.server, routed.address, std::move(request), routed.wait, std::move(events), fed);
   attempts_[key] = {exchange, routed.server, Clock::now()};
 }
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -33,7 +33,6 @@
   Stream stream;
   HttpParser parser;
   Exchange* exchange = nullptr;  // null: at rest
-  bool kept_alive = false;       // by a long answer, whose head is gone
   bool excess = false;           // more came than was asked for
   Time rested{};
 };
@@ -76,11 +75,6 @@
   if (fed) passing_.Begin();
   exchange.started = Clock::now();
   exchange.until = exchange.started + time_out;
-  const auto end_later = [this, id](How how) {
-    loop_.Post(alive_, [this, id, how] {
-      if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, how);
-    });
-  };
   exchange.connection = TakeWarm(server, address);
   if (exchange.connection != nullptr) {
     exchange.connection->exchange = &exchange;
@@ -91,7 +85,7 @@
   }
   if (open_ >= limits_.descriptors && !ShedOldest()) {
     counters_.Add("connections_no_room");
-    end_later(How::kNoRoom);
+    EndLater(id, How::kNoRoom);
     return id;
   }
   counters_.Add("connections_opened");
@@ -104,7 +98,7 @@
   if (!exchange.connection->stream.Connect(address)) {
     counters_.Add("connections_no_room");
     ShedOldest();
-    end_later(How::kNoRoom);
+    EndLater(id, How::kNoRoom);
   }
   return id;
 }
@@ -112,9 +106,7 @@
 void RealServers::Begin(Exchange& exchange) {
   const Stream::Wrote wrote = exchange.connection->stream.Write(std::move(exchange.request));
   if (wrote == Stream::Wrote::kBroken) {
-    loop_.Post(alive_, [this, id = exchange.id] {
-      if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, How::kNotConnected);
-    });
+    EndLater(exchange.id, How::kNotConnected);
   } else if (exchange.fed) {
     exchange.connection->stream.KeepQueueShort();
     exchange.timer.Start(kNoProgress);
@@ -126,6 +118,13 @@
   }
 }
 
+// Never from inside the call that starts or feeds it.
+void RealServers::EndLater(ExchangeId id, How how) {
+  loop_.Post(alive_, [this, id, how] {
+    if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, how);
+  });
+}
+
 void RealServers::Sent(Exchange& exchange) {
   exchange.written = true;
   if (exchange.fed) {
@@ -140,11 +139,9 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end() || bytes.empty()) return;
   it->second->timer.Start(kNoProgress);
-  if (it->second->connection->stream.Write(std::move(bytes)) != Stream::Wrote::kBroken) return;
-  loop_.Post(alive_, [this, id] {
-    if (const auto found = exchanges_.find(id); found != exchanges_.end())
-      End(*found->second, How::kNotConnected);
-  });
+  if (it->second->connection->stream.Write(std::move(bytes)) == Stream::Wrote::kBroken) {
+    EndLater(id, How::kNotConnected);
+  }
 }
 
 bool RealServers::HasRoom(ExchangeId id) const {
@@ -228,8 +225,6 @@
     exchange->took = Clock::now() - exchange->started;
     connection.stream.KeepQueueShort();
     passing_.Begin();
-    const bool keep_alive = parser.message().keep_alive;
-    connection.kept_alive = keep_alive;
     exchange->head = parser.TakeHead();
     exchange->events.answer(exchange->head);
     if (connection.exchange != exchange) return;  // nobody wants it
@@ -238,7 +233,7 @@
     if (std::string piece = parser.TakePiece(); !piece.empty()) exchange->events.piece(std::move(piece));
     if (connection.exchange != exchange) return;
   }
-  if (parsed == Parsed::kComplete) return EndAnswered(connection, !connection.excess);
+  if (parsed == Parsed::kComplete) return EndAnswered(connection);
   if (parser.begun()) AwaitMore(*exchange);
 }
 
@@ -260,18 +255,11 @@
   exchange.answering = true;
 }
 
-void RealServers::EndAnswered(Connection& connection, bool at_rest) {
+void RealServers::EndAnswered(Connection& connection) {
   Exchange& exchange = *connection.exchange;
-  Message answer;
-  bool keep_alive = connection.kept_alive;
-  if (exchange.passing) {
-    connection.parser.Take();
-    answer = std::move(exchange.head);
-  } else {
-    answer = connection.parser.Take();
-    keep_alive = answer.keep_alive;
-  }
-  if (keep_alive && at_rest) {
+  Message answer = connection.parser.Take();
+  if (exchange.passing) answer = std::move(exchange.head);
+  if (answer.keep_alive && !connection.excess) {
     connection.exchange = nullptr;
     connection.rested = Clock::now();
     idle_[connection.server].push_back(std::move(exchange.connection));
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -83,7 +83,8 @@
   void Begin(Exchange& exchange);
   void Sent(Exchange& exchange);
   void Answering(Connection& connection, Parsed parsed);
-  void EndAnswered(Connection& connection, bool at_rest);
+  void EndAnswered(Connection& connection);
+  void EndLater(ExchangeId id, ExchangeEnd::How how);
   void AwaitMore(Exchange& exchange);
   void Forget(const Exchange& exchange);
   void Connected(Connection& connection, bool ok);
