--- a/src/lab/coordinator/connection.h
+++ b/src/lab/coordinator/connection.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -23,6 +24,15 @@
   net::Listener listener;
   MemberFaults faults;
   std::optional<Tree> stale;  // what a lagging member serves
+  // What a member that lags by a time has yet to hear: the state after each commit, and notices.
+  std::deque<std::pair<net::Time, std::shared_ptr<const Tree>>> coming;
+  struct Notice {
+    net::Time when;
+    Connection* connection;
+    ChangeKind kind;
+    std::string path;
+  };
+  std::deque<Notice> notices;
   std::vector<std::unique_ptr<Connection>> connections;
 };
 
--- a/src/lab/coordinator/ensemble.cpp
+++ b/src/lab/coordinator/ensemble.cpp
@@ -57,6 +57,81 @@
   members_[member]->stale = on ? std::optional(tree_) : std::nullopt;
 }
 
+void Ensemble::SetLag(size_t member, Span lag) {
+  Member& at = *members_[member];
+  if (lag.count() == 0) CatchUp(member, net::Time::max());
+  at.faults.lag = lag;
+  if (lag.count() > 0 && !at.stale) at.stale = tree_;
+  if (lag.count() == 0 && !at.faults.lagging && !at.faults.cut_off) at.stale.reset();
+}
+
+void Ensemble::SetCutOff(size_t member, bool on) {
+  Member& at = *members_[member];
+  at.faults.cut_off = on;
+  if (on && !at.stale) at.stale = tree_;
+  if (on) return;
+  // It has missed what there was: it drops its clients, as it does before it follows a leader again.
+  CloseConnections(member);
+  CatchUp(member, net::Time::max());
+  if (!at.faults.lagging && at.faults.lag.count() == 0) at.stale.reset();
+}
+
+void Ensemble::SetMajority(bool on) {
+  if (majority_ == on) return;
+  majority_ = on;
+  if (!on) {
+    for (size_t i = 0; i < members_.size(); ++i) CloseConnections(i);
+    return;
+  }
+  ChangeLeader();
+}
+
+void Ensemble::ChangeLeader() {
+  tree_.ContinueAt(((tree_.zxid() >> 32) + 1) << 32);
+  for (size_t i = 0; i < members_.size(); ++i) {
+    CloseConnections(i);
+    CatchUp(i, net::Time::max());
+  }
+  // A new leader knows of the sessions, and gives each its whole time again.
+  for (auto& [id, session] : sessions_) session.heard = Clock::now();
+}
+
+// A member that lags hears of what was committed before `until`.
+void Ensemble::CatchUp(size_t member, net::Time until) {
+  Member& at = *members_[member];
+  if (at.faults.cut_off && until != net::Time::max()) return;
+  std::shared_ptr<const Tree> newest;
+  while (!at.coming.empty() && at.coming.front().first <= until) {
+    newest = std::move(at.coming.front().second);
+    at.coming.pop_front();
+  }
+  if (newest && at.stale) at.stale = *newest;
+  while (!at.notices.empty() && at.notices.front().when <= until) {
+    const Member::Notice notice = std::move(at.notices.front());
+    at.notices.pop_front();
+    Deliver(notice.connection, notice.kind, notice.path);
+  }
+}
+
+// Every change of a write that was done, for whoever lags behind and for judges.
+void Ensemble::Committed(std::int64_t session, const std::vector<TreeChange>& changes) {
+  std::shared_ptr<const Tree> state;
+  for (const auto& member : members_) {
+    if (member->faults.lag.count() == 0 && !member->faults.cut_off) continue;
+    if (state == nullptr) state = std::make_shared<const Tree>(tree_);
+    member->coming.emplace_back(Clock::now() + member->faults.lag, state);
+  }
+  if (!on_commit) return;
+  for (const TreeChange& change : changes) {
+    if (change.kind == ChangeKind::kChildren) continue;
+    Commit commit{tree_.zxid(), change.kind, change.path, "", session};
+    Stat stat;
+    tree_.Get(change.path, {}, &commit.data, &stat);
+    if (change.kind == ChangeKind::kCreated && stat.czxid != 0) commit.zxid = stat.czxid;
+    on_commit(commit);
+  }
+}
+
 void Ensemble::CloseConnections(size_t member) {
   std::vector<Connection*> all;
   for (const auto& connection : members_[member]->connections) all.push_back(connection.get());
@@ -95,7 +170,7 @@
   Member& at = *members_[member];
   auto connection = std::make_unique<Connection>(*this, member);
   if (!connection->stream.Accept(at.listener.raw())) return;
-  if (at.faults.refuse) {
+  if (at.faults.refuse || !majority_) {
     connection->stream.Close();
     loop_.Bury(std::move(connection));
     return;
@@ -115,6 +190,8 @@
       watch = watch->second.empty() ? watches->erase(watch) : std::next(watch);
     }
   }
+  std::erase_if(members_[connection->member]->notices,
+                [&](const Member::Notice& notice) { return notice.connection == connection; });
   auto& all = members_[connection->member]->connections;
   const auto it = std::find_if(all.begin(), all.end(), [&](const auto& c) { return c.get() == connection; });
   if (it == all.end()) return;
@@ -124,7 +201,9 @@
 
 const Tree& Ensemble::ViewOf(const Connection& connection) const {
   const Member& member = *members_[connection.member];
-  return member.faults.lagging && member.stale ? *member.stale : tree_;
+  const MemberFaults& faults = member.faults;
+  const bool behind = faults.lagging || faults.lag.count() > 0 || faults.cut_off;
+  return behind && member.stale ? *member.stale : tree_;
 }
 
 void Ensemble::Take(Connection& connection, std::string_view packet) {
@@ -144,6 +223,7 @@
   const std::string password = in.Text();
   const bool tells_read_only = in.ok() && !in.empty();
   if (!in.ok()) return connection.Drop();
+  if (members_[connection.member]->faults.cut_off) return;  // a session is the leader's to open: no answer
   // A client that saw more than this member knows is sent on: its view must never go back.
   if (seen > ViewOf(connection).zxid() && !members_[connection.member]->faults.lagging)
     return connection.Drop();
@@ -183,7 +263,11 @@
   if (!in.ok() || it == sessions_.end()) return connection.Drop();
   ++count_.requests;
   Session& session = it->second;
-  session.heard = Clock::now();
+  Member& at = *members_[connection.member];
+  if (at.faults.cut_off && (Writes(type) || type == jute::kSync || type == jute::kClose)) return;
+  if (!at.faults.cut_off) session.heard = Clock::now();
+  CatchUp(connection.member, type == jute::kSync || Writes(type) ? net::Time::max() : Clock::now());
+  if (!connection.stream.open()) return;
   jute::Writer body;
   std::vector<TreeChange> changes;
   const std::int64_t id = session.id;
@@ -195,10 +279,16 @@
     if (!in.ok()) code = Code::kMarshalling;
   }
   // A write through a lagging member has reached the others: it catches up before it answers.
-  if (!changes.empty() && members_[connection.member]->stale) members_[connection.member]->stale = tree_;
+  if (!changes.empty() && at.stale) at.stale = tree_;
+  if (!changes.empty()) Committed(id, changes);
   if (type == jute::kClose) EndSession(id);
   Apply(changes);  // notices go before the answer that shows the change
   if (!connection.stream.open()) return;
+  if (!changes.empty() && lose_answer_ && (*lose_answer_ == 0 || *lose_answer_ == id)) {
+    lose_answer_.reset();
+    ++count_.answers_lost;
+    return connection.Drop();
+  }
   jute::Writer out;
   out.Int(xid).Long(ViewOf(connection).zxid()).Int(static_cast<std::int32_t>(code));
   if (code == Code::kOk || type == jute::kMulti) out.Raw(body.bytes());
@@ -227,6 +317,12 @@
 }
 
 void Ensemble::Notify(Connection* connection, ChangeKind kind, const std::string& path) {
+  Member& member = *members_[connection->member];
+  if (member.faults.lag.count() == 0 && !member.faults.cut_off) return Deliver(connection, kind, path);
+  member.notices.push_back({Clock::now() + member.faults.lag, connection, kind, path});
+}
+
+void Ensemble::Deliver(Connection* connection, ChangeKind kind, const std::string& path) {
   if (!connection->stream.open()) return;
   const auto it = sessions_.find(connection->session);
   if (it != sessions_.end() && std::exchange(it->second.lose_next, false)) return connection->Drop();
@@ -244,6 +340,7 @@
   sessions_.erase(id);
   std::vector<TreeChange> changes;
   tree_.EndSession(id, &changes);
+  if (!changes.empty()) Committed(id, changes);
   Apply(changes);
 }
 
@@ -251,8 +348,9 @@
   const net::Time now = Clock::now();
   std::vector<std::int64_t> ended;
   for (const auto& [id, session] : sessions_) {
-    if (now - session.heard > session.timeout) ended.push_back(id);
+    if (majority_ && now - session.heard > session.timeout) ended.push_back(id);
   }
+  for (size_t i = 0; i < members_.size(); ++i) CatchUp(i, now);
   for (const auto& member : members_) {
     for (const auto& connection : member->connections) {
       auto& reads = connection->reads;
--- a/src/lab/coordinator/ensemble.h
+++ b/src/lab/coordinator/ensemble.h
@@ -38,6 +38,9 @@
   net::Span delay{};       // before each answer
   net::Span jitter{};      // and up to so much more, so that connections overtake one another
   bool half_close = false;  // ends its sending after the next answer
+  net::Span lag{};          // it knows of what was committed so much later, and so do its clients' watches
+  bool cut_off = false;     // from the leader: reads and pings are answered from what it knew, writes and syncs
+                            // never, and the leader hears of its sessions no more
 };
 
 class Ensemble {
@@ -53,6 +56,15 @@
   // A new state of `lagging` needs the copy that it lags with.
   void SetLagging(size_t member, bool on);
   void CloseConnections(size_t member);
+  void SetLag(size_t member, net::Span lag);
+  void SetCutOff(size_t member, bool on);
+  // Without a majority there is no leader: nobody is served, and no session runs out until there is one again.
+  void SetMajority(bool on);
+  // All connections break, and transactions go on in a new epoch.
+  void ChangeLeader();
+  void ContinueAt(std::int64_t zxid) { tree_.ContinueAt(zxid); }
+  // The next write that is committed for the session (0: for any) has its answer lost: its connection breaks.
+  void LoseNextAnswer(std::int64_t session) { lose_answer_ = session; }
   // Ends a session at once, as when its time had run out; its connection is closed without a word.
   void KillSession(std::int64_t session);
   // Takes the session's time as run out at the next look, however alive it is.
@@ -66,14 +78,30 @@
   Tree& tree() { return tree_; }
   // Changes from outside any session, as an operator makes them; watches fire.
   void Apply(const std::vector<TreeChange>& changes);
+  // The same, told to whoever lags and to judges as well.
+  void Outside(const std::vector<TreeChange>& changes) {
+    if (!changes.empty()) Committed(0, changes);
+    Apply(changes);
+  }
 
   // A node's data has been told to a session: called a little after, with the time at which it went out, and
   // not at all where the connection broke or the answer was spoilt.
   std::function<void(const std::string& path, const std::string& data, std::int64_t session, net::Time when)>
       on_read;
 
+  // Each write that was done, once for every node; and each that failed because a node that it checks had gone or
+  // changed, with the path that was checked. For judges.
+  struct Commit {
+    std::int64_t zxid = 0;
+    ChangeKind kind{};
+    std::string path, data;
+    std::int64_t session = 0;  // 0: of none
+  };
+  std::function<void(const Commit&)> on_commit;
+  std::function<void(const std::string& path, std::int64_t session)> on_refused;
+
   struct Count {
-    std::uint64_t requests = 0, notices = 0, bytes_out = 0, expired = 0;
+    std::uint64_t requests = 0, notices = 0, bytes_out = 0, expired = 0, refused = 0, answers_lost = 0;
   };
   const Count& count() const { return count_; }
 
@@ -105,6 +133,9 @@
   void Notify(Connection* connection, ChangeKind kind, const std::string& path);
   void EndSession(std::int64_t id);
   void Sweep();
+  void Committed(std::int64_t session, const std::vector<TreeChange>& changes);
+  void Deliver(Connection* connection, ChangeKind kind, const std::string& path);
+  void CatchUp(size_t member, net::Time until);
   const Tree& ViewOf(const Connection& connection) const;
 
   net::Loop& loop_;
@@ -116,6 +147,8 @@
   std::uint64_t random_;
   Watches watches_;
   Count count_;
+  bool majority_ = true;
+  std::optional<std::int64_t> lose_answer_;
   net::Timer sweep_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
--- a/src/lab/coordinator/requests.cpp
+++ b/src/lab/coordinator/requests.cpp
@@ -214,6 +214,10 @@
           draft.Set(path, std::move(data), version, WallMillis(), session.identities, &done.stat, changes);
     } else if (type == jute::kCheck) {
       done.code = draft.Check(path, in.Int());
+      if (!failed && done.code != Code::kOk) {
+        ++count_.refused;
+        if (on_refused) on_refused(path, session.id);
+      }
     } else {
       return Code::kUnimplemented;
     }
--- a/src/lab/coordinator/tree.h
+++ b/src/lab/coordinator/tree.h
@@ -3,6 +3,7 @@
 #ifndef UMBERDYKE_LAB_COORDINATOR_TREE_H_
 #define UMBERDYKE_LAB_COORDINATOR_TREE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -77,6 +78,8 @@
   void EndSession(std::int64_t session, std::vector<TreeChange>* changes);
 
   std::int64_t zxid() const { return zxid_; }
+  // Transactions go on from there: a new leader's begin with its epoch in the upper half. Never backwards.
+  void ContinueAt(std::int64_t zxid) { zxid_ = std::max(zxid_, zxid); }
   size_t size() const { return nodes_.size(); }
   // The nodes that a session owns, for tests and faults.
   std::vector<std::string> OwnedBy(std::int64_t session) const;
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -4,7 +4,9 @@
 #include <cstdio>
 #include <exception>
 #include <iostream>
+#include <memory>
 
+#include "lab/coordinator/control.h"
 #include "lab/coordinator/ensemble.h"
 #include "lab/experiments.h"
 #include "lab/membership/propagation.h"
@@ -14,13 +16,25 @@
 
 using namespace umberdyke;
 
-int Coordinate(const std::vector<std::string>& addresses, std::uint64_t seed, double most_s) {
+struct Coordinator {
+  std::vector<std::string> addresses;
+  std::string control, commits;
+  std::uint64_t seed = 1;
+  std::int64_t zxid = 0;
+  double most_s = 3600;
+};
+
+int Coordinate(const Coordinator& options) {
   net::Loop loop;
   const net::Signal interrupt(loop, SIGINT, [&] { loop.Stop(); });
   const net::Signal term(loop, SIGTERM, [&] { loop.Stop(); });
-  lab::Ensemble ensemble(loop, addresses, {}, seed);
+  lab::Ensemble ensemble(loop, options.addresses, {}, options.seed);
+  ensemble.ContinueAt(options.zxid);
+  if (!options.commits.empty()) lab::RecordCommits(&ensemble, options.commits);
+  std::unique_ptr<lab::Control> control;
+  if (!options.control.empty()) control = std::make_unique<lab::Control>(loop, options.control, ensemble);
   net::Timer end(loop, [&] { loop.Stop(); });  // it never outlives whoever forgot it
-  end.Start(std::chrono::milliseconds(static_cast<std::int64_t>(most_s * 1000)));
+  end.Start(std::chrono::milliseconds(static_cast<std::int64_t>(options.most_s * 1000)));
   std::cout << "coordinator: listens on";
   for (const std::string& address : ensemble.addresses()) std::cout << " " << address;
   std::cout << std::endl;
@@ -30,15 +44,16 @@
 }
 
 void AddCoordinator(CLI::App& app, int* status) {
-  static std::vector<std::string> addresses;
-  static std::uint64_t seed = 1;
-  static double most = 3600;
+  static Coordinator options;
   CLI::App* sub = app.add_subcommand("coordinator", "Play a coordination service on one address or several");
-  sub->add_option("--listen", addresses, "An address on loopback; several share one state")->required();
-  sub->add_option("--seed", seed, "Of the sessions' numbers and passwords");
-  sub->add_option("--most-seconds", most, "It ends by itself after this")->check(CLI::Range(1.0, 86400.0));
+  sub->add_option("--listen", options.addresses, "An address on loopback; several share one state")->required();
+  sub->add_option("--control", options.control, "An address that takes commands, a line each; 'help' lists them");
+  sub->add_option("--commits", options.commits, "A file that gets a JSON line for each write that was done");
+  sub->add_option("--zxid", options.zxid, "Transactions begin behind this number")->check(CLI::NonNegativeNumber);
+  sub->add_option("--seed", options.seed, "Of the sessions' numbers and passwords");
+  sub->add_option("--most-seconds", options.most_s, "It ends by itself after this")->check(CLI::Range(1.0, 86400.0));
   sub->footer("Example:\n  umberdyke_lab coordinator --listen 127.0.0.1:2181 --listen 127.0.0.1:2182");
-  sub->callback([status] { *status = Coordinate(addresses, seed, most); });
+  sub->callback([status] { *status = Coordinate(options); });
 }
 
 void AddMembership(CLI::App& app, int* status) {
--- /dev/null
+++ b/src/owner/fence.h
@@ -0,0 +1,51 @@
+// The fence at a place of effect: what an older owner sent is refused once a newer one's was taken, and no step
+// is done twice. Pure; the place hands in what the order said.
+//
+// A place that has just started has seen no term at all, so a term alone would let an old owner in. Each start
+// of a place is a *life* with a name of its own, which an order has to bear. An owner asks for the name and then
+// has the coordination service confirm its claim before it orders anything under that name: whoever was replaced
+// before this life began learns it there (docs/owner.md).
+#ifndef UMBERDYKE_OWNER_FENCE_H_
+#define UMBERDYKE_OWNER_FENCE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "owner/claim.h"
+
+namespace umberdyke::owner {
+
+using Step = std::int64_t;  // of a duty's journal: 1, 2, ... over all terms
+
+class Fence {
+ public:
+  enum class Verdict {
+    kTake,       // new: do it
+    kRepeat,     // this very step was taken before: done, and not done again
+    kOldTerm,    // of an owner that has been replaced
+    kOldStep,    // overtaken by a later one
+    kOtherLife,  // made for an earlier life of this place
+  };
+  Verdict Judge(std::string_view life, std::string_view own_life, Term term, Step step) {
+    if (life != own_life) return Verdict::kOtherLife;
+    if (term < term_) return Verdict::kOldTerm;
+    term_ = term;  // seen, whatever becomes of the step
+    if (step == step_) return Verdict::kRepeat;
+    if (step < step_) return Verdict::kOldStep;
+    step_ = step;
+    return Verdict::kTake;
+  }
+  Term term() const { return term_; }
+  Step step() const { return step_; }
+
+  friend bool operator==(const Fence&, const Fence&) = default;
+
+ private:
+  Term term_ = 0;
+  Step step_ = 0;
+};
+
+}  // namespace umberdyke::owner
+
+#endif  // UMBERDYKE_OWNER_FENCE_H_
--- a/src/zookeeper/node_client.cpp
+++ b/src/zookeeper/node_client.cpp
@@ -18,6 +18,7 @@
 constexpr Span kFirstWait = 10ms;  // before the next address, and more once all have failed
 constexpr Span kLongestWait = 500ms;
 constexpr Span kLeastConnect = 150ms;
+constexpr int kEphemeral = 1, kSequential = 2;  // the protocol's flags of a creation
 
 NodeStat ReadStat(jute::Reader& in) {
   NodeStat stat;
@@ -47,6 +48,10 @@
       return "no such node";
     case kNoAuth:
       return "not allowed";
+    case kBadVersion:
+      return "the node has another version";
+    case kInconsistent:
+      return "another part failed";
     case kNoChildrenForEphemerals:
       return "an ephemeral node has no children";
     case kNodeExists:
@@ -101,6 +106,7 @@
   session_ = 0;
   password_.clear();
   data_watches_.clear();
+  exists_watches_.clear();
   child_watches_.clear();
 }
 
@@ -235,15 +241,16 @@
 // Watches live in the connection: on a new one they are set anew, and the service tells at once of those
 // whose node has changed since.
 void NodeClient::SetWatches() {
-  if (data_watches_.empty() && child_watches_.empty()) return;
+  if (data_watches_.empty() && exists_watches_.empty() && child_watches_.empty()) return;
   const std::vector<std::string> data(data_watches_.begin(), data_watches_.end());
+  const std::vector<std::string> exists(exists_watches_.begin(), exists_watches_.end());
   const std::vector<std::string> children(child_watches_.begin(), child_watches_.end());
   Send(jute::Writer()
            .Int(jute::kWatchesXid)
            .Int(jute::kSetWatches)
            .Long(seen_)
            .Texts(data)
-           .Texts({})
+           .Texts(exists)
            .Texts(children));
 }
 
@@ -280,6 +287,7 @@
                         : kind == 3 ? Notice::kChanged
                                     : Notice::kChildren;
   if (kind != 4) data_watches_.erase(path);
+  if (kind != 4) exists_watches_.erase(path);
   if (kind == 4 || kind == 2) child_watches_.erase(path);
   owner_.notice(notice, path.substr(settings_.chroot.size()));
 }
@@ -303,7 +311,7 @@
                              std::set<std::string>* watches,
                              std::function<void(int, Content, const NodeStat&)> done) {
   const std::string full = Full(path);
-  Ask(type, jute::Writer().Text(full).Bool(true),
+  Ask(type, jute::Writer().Text(full).Bool(watches != nullptr),
       [this, full, take, watches, done = std::move(done)](int rc, jute::Reader& in) {
         Content content;
         NodeStat stat;
@@ -314,7 +322,7 @@
             done(kConnectionLost, {}, {});
             return Lost();
           }
-          watches->insert(full);
+          if (watches != nullptr) watches->insert(full);
         }
         done(rc, std::move(content), stat);
       });
@@ -329,25 +337,119 @@
   ReadWatched<std::string>(jute::kGet, path, &jute::Reader::Text, &data_watches_, std::move(done));
 }
 
-void NodeClient::Create(const std::string& path, const std::string& data, bool ephemeral, OnDone done) {
-  jute::Writer body;
-  body.Text(Full(path)).Text(data).Int(1).Int(31);
-  // With a password the node is its creator's alone.
-  if (ephemeral && !settings_.auth.empty()) {
-    body.Text("auth").Text("");
+void NodeClient::Read(const std::string& path, OnContent done) {
+  ReadWatched<std::string>(jute::kGet, path, &jute::Reader::Text, nullptr, std::move(done));
+}
+
+void NodeClient::Exists(const std::string& path, bool watch,
+                        std::function<void(int rc, const NodeStat& stat)> done) {
+  const std::string full = Full(path);
+  Ask(jute::kExists, jute::Writer().Text(full).Bool(watch),
+      [this, full, watch, done = std::move(done)](int rc, jute::Reader& in) {
+        NodeStat stat;
+        if (rc == kOk) {
+          stat = ReadStat(in);
+          if (!in.ok()) {
+            done(kConnectionLost, {});
+            return Lost();
+          }
+        }
+        if (watch && (rc == kOk || rc == kNoNode)) (rc == kOk ? data_watches_ : exists_watches_).insert(full);
+        done(rc, stat);
+      });
+}
+
+// With a password the node is its creator's alone.
+void NodeClient::PutAcl(bool own, jute::Writer* body) const {
+  body->Int(1).Int(31);
+  if (own && !settings_.auth.empty()) {
+    body->Text("auth").Text("");
   } else {
-    body.Text("world").Text("anyone");
+    body->Text("world").Text("anyone");
   }
-  body.Int(ephemeral ? 1 : 0);
-  Ask(jute::kCreate, body, [done](int rc, jute::Reader&) { done(rc); });
+}
+
+void NodeClient::Create(const std::string& path, const std::string& data, int flags,
+                        std::function<void(int rc, const std::string& path)> done) {
+  jute::Writer body;
+  body.Text(Full(path)).Text(data);
+  PutAcl((flags & kEphemeral) != 0, &body);
+  body.Int(flags);
+  Ask(jute::kCreate, body, [this, done = std::move(done)](int rc, jute::Reader& in) {
+    std::string created = rc == kOk ? in.Text() : "";
+    if (rc == kOk && created.starts_with(settings_.chroot)) created.erase(0, settings_.chroot.size());
+    done(rc, created);
+  });
 }
 
 void NodeClient::CreateEphemeral(const std::string& path, const std::string& data, OnDone done) {
-  Create(path, data, true, std::move(done));
+  Create(path, data, kEphemeral, [done = std::move(done)](int rc, const std::string&) { done(rc); });
 }
 
 void NodeClient::CreatePersistent(const std::string& path, OnDone done) {
-  Create(path, "", false, std::move(done));
+  CreateNode(path, "", std::move(done));
+}
+
+void NodeClient::CreateNode(const std::string& path, const std::string& data, OnDone done) {
+  Create(path, data, 0, [done = std::move(done)](int rc, const std::string&) { done(rc); });
+}
+
+void NodeClient::CreateSequential(const std::string& prefix, const std::string& data,
+                                  std::function<void(int rc, const std::string& path)> done) {
+  Create(prefix, data, kEphemeral | kSequential, std::move(done));
+}
+
+void NodeClient::Sync(const std::string& path, OnDone done) {
+  Ask(jute::kSync, jute::Writer().Text(Full(path)), [done = std::move(done)](int rc, jute::Reader&) { done(rc); });
+}
+
+void NodeClient::Multi(const std::vector<Op>& parts,
+                       std::function<void(int rc, const std::vector<int>& each)> done) {
+  jute::Writer body;
+  for (const Op& part : parts) {
+    const std::int32_t type = part.kind == Op::Kind::kCheck    ? jute::kCheck
+                              : part.kind == Op::Kind::kCreate ? jute::kCreate
+                              : part.kind == Op::Kind::kSet    ? jute::kSet
+                                                               : jute::kDelete;
+    body.Int(type).Bool(false).Int(-1).Text(Full(part.path));
+    if (part.kind == Op::Kind::kCreate) {
+      body.Text(part.data);
+      PutAcl(false, &body);
+      body.Int(0);
+    } else {
+      if (part.kind == Op::Kind::kSet) body.Text(part.data);
+      body.Int(part.version);
+    }
+  }
+  body.Int(-1).Bool(true).Int(-1);
+  Ask(jute::kMulti, body, [this, parts, done = std::move(done)](int rc, jute::Reader& in) {
+    std::vector<int> each;
+    for (size_t i = 0; rc == kOk && i < parts.size(); ++i) {
+      const std::int32_t type = in.Int();
+      in.Bool();
+      const std::int32_t code = in.Int();
+      if (type < 0) {
+        each.push_back(in.Int());
+      } else {
+        each.push_back(code);
+        if (type == jute::kCreate) in.Text();
+        if (type == jute::kSet) ReadStat(in);
+      }
+    }
+    if (rc == kOk && !in.ok()) {
+      done(kConnectionLost, {});
+      return Lost();
+    }
+    // The first that went wrong by itself; the others failed with it.
+    for (const int code : each) {
+      if (code != kOk && code != kInconsistent) {
+        rc = code;
+        break;
+      }
+      if (code != kOk) rc = code;
+    }
+    done(rc, each);
+  });
 }
 
 void NodeClient::Set(const std::string& path, const std::string& data, OnDone done) {
--- a/src/zookeeper/node_client.h
+++ b/src/zookeeper/node_client.h
@@ -1,5 +1,6 @@
 // A session with a coordination service on the event loop, by its published protocol: reads with one-shot
-// watches, ephemeral nodes, and a new session when the old one has expired.
+// watches, ephemeral and sequential nodes, several writes that are done together or not at all, and a new session
+// when the old one has expired.
 //
 // Every call answers once, later, in the order of the calls. Nothing here waits, looks names up or believes a
 // byte more than it has to: whatever is no message of the protocol ends the connection, and the next address
@@ -25,9 +26,11 @@
 // The protocol's codes, and two of this client's own below them.
 enum Rc : int {
   kOk = 0,
+  kInconsistent = -2,    // of a part of Multi: another part failed
   kConnectionLost = -4,  // whether it was done is not known
   kNoNode = -101,
   kNoAuth = -102,
+  kBadVersion = -103,
   kNoChildrenForEphemerals = -108,
   kNodeExists = -110,
   kNotEmpty = -111,
@@ -55,6 +58,15 @@
   std::int64_t owner = 0;  // session of an ephemeral node
 };
 
+// A part of Multi.
+struct Op {
+  enum class Kind { kCheck, kCreate, kSet, kDelete };
+  Kind kind;
+  std::string path;
+  std::string data;
+  int version = -1;  // that the node must have; any
+};
+
 enum class Notice { kCreated, kDeleted, kChanged, kChildren };
 
 class NodeClient : private net::StreamUser {
@@ -86,9 +98,23 @@
   void CreatePersistent(const std::string& path, OnDone done);
   void Set(const std::string& path, const std::string& data, OnDone done);
   void Delete(const std::string& path, OnDone done);
+  // As Get, and no watch is set.
+  void Read(const std::string& path, OnContent done);
+  // `watch`: a notice once it is created, changed or gone, whether it is there now or not.
+  void Exists(const std::string& path, bool watch, std::function<void(int rc, const NodeStat& stat)> done);
+  void CreateNode(const std::string& path, const std::string& data, OnDone done);  // persistent
+  // An ephemeral node whose name is the prefix and a number that the service draws, growing. Where the answer is
+  // lost the caller finds out by the list of names: the prefix has to bear an id.
+  void CreateSequential(const std::string& prefix, const std::string& data,
+                        std::function<void(int rc, const std::string& path)> done);
+  // What this member knows next is at least what the service had committed when this was asked.
+  void Sync(const std::string& path, OnDone done);
+  // All or nothing. `each` has a code for every part where the service answered; `rc` is the first that went wrong.
+  void Multi(const std::vector<Op>& parts, std::function<void(int rc, const std::vector<int>& each)> done);
 
   bool connected() const { return state_ == State::kConnected; }
   std::int64_t session_id() const { return session_; }
+  net::Span session_time() const { return timeout_; }  // as the service granted it
 
  private:
   enum class State { kStopped, kWaiting, kConnecting, kShaking, kConnected };
@@ -114,7 +140,9 @@
   void Due();
   void Send(const jute::Writer& message);
   void Ask(std::int32_t type, const jute::Writer& body, std::function<void(int rc, jute::Reader& in)> done);
-  void Create(const std::string& path, const std::string& data, bool ephemeral, OnDone done);
+  void Create(const std::string& path, const std::string& data, int flags,
+              std::function<void(int rc, const std::string& path)> done);
+  void PutAcl(bool own, jute::Writer* body) const;
   template <typename Content>
   void ReadWatched(std::int32_t type, const std::string& path, Content (jute::Reader::*take)(),
                    std::set<std::string>* watches,
@@ -139,7 +167,7 @@
   std::int64_t seen_ = 0;  // the latest transaction that was told
   net::Span timeout_{};
   net::Time heard_{}, sent_{};
-  std::set<std::string> data_watches_, child_watches_;
+  std::set<std::string> data_watches_, exists_watches_, child_watches_;
   std::mt19937_64 random_;
   net::Timer timer_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
