Let no chance crowd in at few copies, nor in a jam: soak tips no more

A print of each server's load (scratch build) shows what decides: at 297 s one of four front servers falls silent for 6 s, the other three get its part (live 20 to 24 at a limit of 12 to 17), choke, and are held at 10 to 14 in flight for 30 s more. What lets the crowd in is AdjustLimit's slack of two roots of the limit and 1, which stands for chance at one copy of many; at two copies half of it reaches the servers.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -904,8 +904,7 @@
                           end.outcome == Outcome::kRejected || end.outcome == Outcome::kUnfit;
     if (answered) up.heard = up.answered = now_;
     if (end.report) TakeReport(up, *end.report);
-    if (end.outcome == Outcome::kRejected) up.chips = 0;
-    if (end.outcome == Outcome::kRejected) return;
+    if (end.outcome == Outcome::kRejected) return void(up.chips = 0);
     if (end.outcome == Outcome::kUnfit) return MintChip(up);  // says nothing against the server, nor the kin
     if (end.outcome == Outcome::kSpoilt) return Spoilt(up, held);
     if (held && answered) TellKinFailed(*held, end.outcome == Outcome::kError);
@@ -1024,14 +1023,16 @@
     const double start = limit_ = kStartPerUpstream * servers + kStartGrowth * answers_seen_;
     // What comes to one copy of many varies by chance, from the first second on.
     slack_ = kLimitSlack * std::sqrt(limit_ * (1 - 1.0 / settings_.balancers));
-    if (latency_ <= 0) recent_time_ = 0;
-    if (latency_ <= 0) return;
+    if (latency_ <= 0) return void(recent_time_ = 0);
     const bool starting = answers_seen_ < kAnswersFirst;
     quiet_ = starting ? steady_ : std::min(quiet_ * kQuietRise, steady_);
     may_take_ = std::max(std::min(kAimShare * aim_, kMostOverQuiet * quiet_),
                          std::min(kOverQuiet * quiet_, kMostOfAim * aim_));
     limit_ = std::max(recent_answers_ / recent_time_ * may_take_, starting ? start : 0);
-    if (answers_seen_ >= kAnswersTell) slack_ = kLimitSlack * std::sqrt(limit_) + 1;
+    // What chance brings to one copy of many is evened out by the others; at few copies, and in a jam, it is a crowd.
+    const double jam = 1 - std::clamp((may_take_ - latency_) / std::max(1.0, may_take_ - quiet_), 0.0, 1.0);
+    const double chance = limit_ * std::max(0.0, 1 - (1 + jam) / settings_.balancers);
+    if (answers_seen_ >= kAnswersTell) slack_ = kLimitSlack * std::sqrt(chance) + 1;
   }
 
   // --- Housekeeping ---
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -927,6 +927,35 @@
   EXPECT_LE(d.outs.size(), 20u) << "a crowd is still none of its business";
 }
 
+// A crowd that comes by chance to one copy of many is made up for by the others; at two copies it is half of a crowd
+// at the servers, and in a jam it keeps the jam going. Guards against the day that tips once a server hangs.
+TEST(AdmissionTest, InAJamACopyOfFewLetsNoChanceCrowdIn) {
+  const auto let_in = [](int balancers) {
+    Settings s = BasicSettings();
+    s.balancers = balancers;
+    size_t most = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      Driver d(s, seed);
+      d.List(Many(4));
+      RequestId next = 1;
+      // At rest 15 a second are answered in half a second; then the servers are choked, and each takes 0.8 s.
+      for (const auto& [count, took] : {std::pair(600, 500'000), std::pair(150, 800'000)}) {
+        for (int i = 0; i < count; ++i) {
+          d.Arrive(next++);
+          d.Advance(66'000);
+          while (!d.outs.empty() && d.now - d.outs[0].sent >= took) d.EndOut(0, Outcome::kOk, 3);
+        }
+      }
+      for (int i = 0; i < 60; ++i) d.Arrive(next++);
+      most += d.outs.size();
+    }
+    return most;
+  };
+  const size_t few = let_in(2), many = let_in(200);
+  EXPECT_LT(10 * few, 9 * many) << few << " beside " << many;
+  EXPECT_GT(few, 5 * 8u) << "what the servers can do is let in all the same";
+}
+
 // Servers that answer 50 requests a second in all, asked for 200: what is in hand stays answerable, and the
 // tenant over its share is refused first.
 TEST(AdmissionTest, OverloadIsRefusedEarlyAndOverShareFirst) {
