Let agents own duties for the fleet: census, tidying, fenced orders, and their tool

Two duties: the census (who could not be asked is unknown, never gone) and tidying (what nobody owns, in two looks by version). A sidecar's console takes orders with term, step and the life they are for; an older owner's, an overtaken step's and those of an earlier life are refused, counted and logged. The description gains [fleet] and three rules, config write the agent's file, umberdykectl fleet status, owner, resign and history.

--- a/src/config/application.cpp
+++ b/src/config/application.cpp
@@ -77,6 +77,7 @@
     app_.limits = UsualLimits();
     Inside(file, "limits", [&](Reader& r) { app_.limits = Limits(r, app_.limits); });
     Rules(file);
+    Fleet(file);
     file.Tables("tier", Need::kRequired, [&](const Node& t, const std::string& p) { Tier(t, p); });
     file.Tables("class", Need::kRequired, [&](const Node& t, const std::string& p) { Class(t, p); });
     file.Tables("tenant", Need::kOptional, [&](const Node& t, const std::string& p) { Tenant(t, p); });
@@ -150,6 +151,41 @@
     });
   }
 
+  void Coordinators(Reader& r, const std::vector<Placed<std::string>>& addresses) {
+    for (const auto& address : addresses) {
+      if (ParseHostPort(address.value)) continue;
+      r.Tell(address.place, "bad-address",
+             r.PathOf("coordinators") + " holds " + Quoted(address.value) +
+                 ", no address in numbers with a port");
+    }
+  }
+
+  void NodePath(Reader& r, const Placed<std::string>& path) {
+    if (!path.given || path.value.empty() || IsNodePath(path.value)) return;
+    r.Tell(path.place, "bad-path", Quoted(path.value) + " is no path of a node, such as /linen-track/front");
+  }
+
+  void Fleet(Reader& file) {
+    const Member* member = file.Table("fleet", Need::kOptional);
+    if (member == nullptr) return;
+    Reader r(reading_, member->value, member->place, "fleet");
+    FleetText& fleet = app_.fleet;
+    fleet.given = true;
+    fleet.place = member->place;
+    fleet.coordinators = r.Texts("coordinators", Need::kRequired);
+    Coordinators(r, fleet.coordinators);
+    fleet.path = r.Text("path", Need::kRequired);
+    NodePath(r, fleet.path);
+    fleet.auth_file = r.Text("auth_file", Need::kOptional);
+    fleet.session = r.Duration("session", Need::kOptional, 4s, 200ms);
+    fleet.margin = r.Duration("margin", Need::kOptional, 1s, 1ms);
+    fleet.rest = r.Duration("rest", Need::kOptional, 10s);
+    fleet.census_every = r.Duration("census_every", Need::kOptional, 5s, 10ms);
+    fleet.tidy_every = r.Duration("tidy_every", Need::kOptional, 60s, 10ms);
+    fleet.tidy_after = r.Duration("tidy_after", Need::kOptional, 600s);
+    r.Finish();
+  }
+
   void Tier(const Node& table, const std::string& path) {
     Reader r(reading_, table, table.place, path);
     TierText tier;
@@ -168,22 +204,12 @@
   void Sources(Reader& r, TierText* tier) {
     tier->discovery = AddressText(r, "discovery", Need::kOptional);
     tier->coordinators = r.Texts("coordinators", Need::kOptional);
-    for (const auto& address : tier->coordinators) {
-      if (!ParseHostPort(address.value)) {
-        r.Tell(address.place, "bad-address",
-               r.PathOf("coordinators") + " holds " + Quoted(address.value) +
-                   ", no address in numbers with a port");
-      }
-    }
+    Coordinators(r, tier->coordinators);
     tier->members_file = r.Text("members_file", Need::kOptional);
     tier->nodes = r.Text("nodes", tier->coordinators.empty() ? Need::kOptional : Need::kRequired);
     tier->register_under = r.Text("register_under", Need::kOptional);
-    for (const auto* path : {&tier->nodes, &tier->register_under}) {
-      if (path->given && !path->value.empty() && !IsNodePath(path->value)) {
-        r.Tell(path->place, "bad-path",
-               Quoted(path->value) + " is no path of a node, such as /linen-track/front");
-      }
-    }
+    NodePath(r, tier->nodes);
+    NodePath(r, tier->register_under);
     tier->auth_file = r.Text("auth_file", Need::kOptional);
     tier->session = r.Duration("session", Need::kOptional, 4s, 200ms);
     tier->guard_share = r.Number("guard_share", Need::kOptional, 0.3, 0.01, 1);
--- a/src/config/application.h
+++ b/src/config/application.h
@@ -85,6 +85,17 @@
   RequestLimits limits;
 };
 
+// The agents' work on behalf of the fleet, where there is a coordination service; absent: no agent runs.
+struct FleetText {
+  bool given = false;
+  Place place;
+  std::vector<Placed<std::string>> coordinators;
+  Placed<std::string> path;  // of all that the agents keep there
+  Placed<std::string> auth_file;
+  Placed<Micros> session, margin, rest;  // margin: off the session's time, for an owner's belief
+  Placed<Micros> census_every, tidy_every, tidy_after;
+};
+
 struct Application {
   std::string file;
   Placed<std::string> name;
@@ -98,6 +109,7 @@
   std::vector<Placed<std::string>> report;  // the figures that servers tell
   std::string log_format, log_level;
 
+  FleetText fleet;
   std::vector<TierText> tiers;
   std::vector<ClassText> classes;
   std::vector<TenantText> tenants;
--- a/src/config/check_application.cpp
+++ b/src/config/check_application.cpp
@@ -42,6 +42,7 @@
     Service();
     Tiers();
     Hosts();
+    if (app_.fleet.given) Fleet(app_.fleet);
     for (const SidecarText& s : app_.sidecars) Sidecar(s);
     if (app_.limits.descriptors.given || app_.limits.memory.given) Limits(app_.limits, "limits");
   }
@@ -280,6 +281,34 @@
          text + " make " + product + " attempts of one client's request; 5 is the most");
   }
 
+  void Fleet(const FleetText& fleet) {
+    if (2 * fleet.margin.value > fleet.session.value) {
+      Tell(fleet.margin.given ? fleet.margin.place : fleet.place, "margin-too-long",
+           "an owner's margin is " + PrintDuration(fleet.margin.value) + " of a session of " +
+               PrintDuration(fleet.session.value) + "; half of it is the most");
+    }
+    // Tidying must never meet servers' or sidecars' own nodes among the agents'.
+    const auto within = [](const std::string& inner, const std::string& outer) {
+      return inner == outer || inner.starts_with(outer + "/");
+    };
+    for (const TierText& tier : app_.tiers) {
+      for (const auto* path : {&tier.nodes, &tier.register_under}) {
+        const std::string& theirs = path->value;
+        const std::string& ours = fleet.path.value;
+        if (theirs.empty() || ours.empty() || (!within(theirs, ours) && !within(ours, theirs))) continue;
+        Tell(fleet.path.place, "path-shared",
+             "the agents' path " + Quoted(ours) + " and tier " + Quoted(tier.name.value) + "'s " + Quoted(theirs) +
+                 " lie in one another");
+      }
+    }
+    for (const SidecarText& s : app_.sidecars) {
+      if (!s.console.given) {
+        Tell(s.place, "console-missing",
+             "sidecar " + Quoted(s.name.value) + " has no console, and the agents reach sidecars by nothing else");
+      }
+    }
+  }
+
   void Hosts() {
     for (const HostText& host : app_.hosts) Defined("zone", host.zone, Values(app_.zones));
   }
--- a/src/config/rules.cpp
+++ b/src/config/rules.cpp
@@ -125,6 +125,16 @@
       {"peer-address-missing", "peers are on, but a sidecar has no peer address",
        "It would tell its peers nothing, and they would take it for gone.",
        "Add peer_listen to the sidecar, or set peers = false."},
+      // --- The fleet ---
+      {"margin-too-long", "an owner's margin takes more than half of its session",
+       "What is left is too short to do a step in, so the duty would change hands all the time.",
+       "Lower margin, or raise session; a quarter of the session is usual."},
+      {"console-missing", "a fleet's sidecar has no console",
+       "The agents would take it for unknown for ever, and budgets would count it as out.",
+       "Give the sidecar a console, or take [fleet] out of the description."},
+      {"path-shared", "the agents' path and a tier's lie in one another",
+       "The agents tidy what nobody owns under their path; a server's or a sidecar's node is none of it.",
+       "Give [fleet] a path of its own, such as /NAME/fleet."},
       // --- Hosts ---
       {"address-not-of-host", "a sidecar listens on an address that its host does not have",
        "It could not start there.", "Use the host's address, or put the sidecar on the right host."},
--- a/src/config/write_sidecar.cpp
+++ b/src/config/write_sidecar.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "config/agent_file.h"
 #include "config/sidecar_file.h"
 
 namespace umberdyke::config {
@@ -43,6 +44,8 @@
   return hex;
 }
 
+Json Mark(const Json& json) { return {{"by", "umberdykectl config write"}, {"checksum", Checksum(json)}}; }
+
 std::optional<Json> Parse(std::string_view text) {
   Json json = Json::parse(text, nullptr, false);
   if (!json.is_object()) return std::nullopt;
@@ -77,7 +80,7 @@
     }
     json["known"] = {{"version", 0}, {"full", true}, {"servers", Json::array()}};
     json["settings"] = Settings(sidecar);
-    json["written"] = {{"by", "umberdykectl config write"}, {"checksum", Checksum(json)}};
+    json["written"] = Mark(json);
     return json.dump(2) + "\n";
   }
 
@@ -194,6 +197,11 @@
     if (sidecar.host.value != host) continue;
     files.push_back({application.name.value + "." + sidecar.name.value + ".json", writer.Write(sidecar)});
   }
+  if (const HostText* text = application.Host(host); application.fleet.given && text != nullptr) {
+    Json json = Json::parse(WriteAgentFile(application, *text));
+    json["written"] = Mark(json);
+    files.push_back({AgentFileName(application, host), json.dump(2) + "\n"});
+  }
   return files;
 }
 
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -62,10 +62,13 @@
   Timer patience_;
 };
 
-Console::Console(Loop& loop, ConsoleOwner& owner, Counters& counters, int most_callers)
+Console::Console(Loop& loop, ConsoleOwner& owner, ConsoleIdentity identity, Counters& counters, log::Log& log,
+                 int most_callers)
     : loop_(loop),
       owner_(owner),
+      identity_(std::move(identity)),
       counters_(counters),
+      notes_(identity_.application, counters, log),
       most_callers_(static_cast<size_t>(std::max(1, most_callers))),
       listener_(loop, [this] { Come(); }) {}
 
@@ -90,17 +93,27 @@
 }
 
 std::string Console::AnswerTo(const Message& message) {
-  const auto call = ReadCall(message);
+  auto call = ReadCall(message);
   if (const auto* none = std::get_if<NoCall>(&call)) {
     counters_.Add("console_bad_calls");
     return NoCallAnswer(*none);
   }
   counters_.Add("console_calls");
-  switch (std::get<ConsoleCall>(call)) {
+  if (auto* order = std::get_if<FleetOrder>(&call)) return notes_.Take(std::move(*order));
+  if (const auto* note = std::get_if<FleetNote>(&call)) return notes_.Show(*note);
+  return AnswerTo(std::get<ConsoleCall>(call));
+}
+
+std::string Console::AnswerTo(ConsoleCall call) {
+  switch (call) {
     case ConsoleCall::kReady:
       return owner_.ReadyToServe() ? CallAnswer(200, "ready\n") : CallAnswer(503, "not ready\n");
     case ConsoleCall::kMetrics:
       return CallAnswer(200, PrintFigures(owner_.CurrentFigures()));
+    case ConsoleCall::kFleet:
+      return CallAnswer(200, "name=" + PlainName(identity_.name) + "\nversion=" UMBERDYKE_VERSION "\ntier=" +
+                                 std::to_string(identity_.tier) + "\nstate=" + std::string(owner_.StateName()) +
+                                 "\n" + notes_.Lines() + PrintFigures(owner_.CurrentFigures()));
     case ConsoleCall::kDrain:
       return owner_.SendClientsAway() ? CallAnswer(200, "drained\n") : CallAnswer(409, "it is ending\n");
     case ConsoleCall::kActivate:
--- a/src/console/console.h
+++ b/src/console/console.h
@@ -1,4 +1,5 @@
-// The second address, for operators: is it ready, the figures, send clients away, back to work.
+// The second address, for operators: is it ready, the figures, send clients away, back to work; and for the agents of
+// the fleet: what it is and does, and the notes of their duties (fleet_notes.h).
 //
 // It knows the rest of the sidecar only through ConsoleOwner, and never waits: each call is answered in the
 // turn of the loop in which its last byte is read. It is bounded by itself: so many callers at once, each
@@ -9,7 +10,9 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "console/fleet_notes.h"
 #include "counters/counters.h"
 #include "loop/loop.h"
 #include "platform/console_calls.h"
@@ -19,6 +22,7 @@
 class ConsoleOwner {
  public:
   virtual bool ReadyToServe() const = 0;
+  virtual std::string_view StateName() const = 0;  // one word
   virtual Figures CurrentFigures() const = 0;
   // Clients are to go elsewhere, and may come back. False: it can't be done any more.
   virtual bool SendClientsAway() = 0;
@@ -28,9 +32,17 @@
   ~ConsoleOwner() = default;
 };
 
+// Which sidecar it is, for the agents.
+struct ConsoleIdentity {
+  std::string application;  // empty: no agent's orders are taken
+  std::string name;
+  int tier = 0;
+};
+
 class Console {
  public:
-  Console(Loop& loop, ConsoleOwner& owner, Counters& counters, int most_callers);
+  Console(Loop& loop, ConsoleOwner& owner, ConsoleIdentity identity, Counters& counters, log::Log& log,
+          int most_callers);
   ~Console();
 
   // Returns an empty text, or what went wrong.
@@ -41,12 +53,15 @@
   class Caller;
   void Come();
   std::string AnswerTo(const Message& message);
+  std::string AnswerTo(ConsoleCall call);
   void Leave(Caller& caller);
   void MakeRoom();
 
   Loop& loop_;
   ConsoleOwner& owner_;
+  const ConsoleIdentity identity_;
   Counters& counters_;
+  FleetNotes notes_;
   const size_t most_callers_;
   std::list<std::unique_ptr<Caller>> callers_;  // oldest first
   Listener listener_;
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -1,7 +1,7 @@
 // umberdykectl, the operators' tool: one file a subcommand, each with its words of the command line and its
 // work.
 //
-// This room may not know sockets or the sidecar's inside; what it says goes to the streams it is handed, and
+// This room may not know sockets or the sidecar's inside: what agents keep is read through src/fleet. What it says goes to the streams it is handed, and
 // every subcommand ends with 0 (done, clean), 1 (findings, or refused) or 2 (could not read or write).
 #ifndef UMBERDYKE_CTL_COMMAND_H_
 #define UMBERDYKE_CTL_COMMAND_H_
@@ -38,6 +38,7 @@
 void AddExplain(CLI::App& config, const Streams& streams, int* status);
 void AddShow(CLI::App& config, const Streams& streams, int* status);
 void AddUpgrade(CLI::App& config, const Streams& streams, int* status);
+void AddFleet(CLI::App& app, const Streams& streams, int* status);
 void AddCompletion(CLI::App& app, const Streams& streams, int* status);
 
 // --- What several subcommands need ---
--- a/src/ctl/config_check.cpp
+++ b/src/ctl/config_check.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 #include <ostream>
 
+#include "config/agent_file.h"
 #include "ctl/command.h"
 
 namespace umberdyke::ctl {
@@ -27,6 +28,8 @@
       if (!app) continue;
       config::CheckApplication(*app, &findings);
       applications.push_back(std::move(*app));
+    } else if (config::IsAgentFile(*text)) {
+      config::ReadAgentFile(path, *text, &findings);
     } else if (auto sidecar = config::CheckSidecar(path, *text, none, &findings)) {
       sidecars.push_back(std::move(*sidecar));
     }
@@ -44,7 +47,7 @@
   auto options = std::make_shared<Options>();
   CLI::App* app =
       config.add_subcommand("check", "Check descriptions and sidecars' files, alone and together");
-  app->add_option("FILE", options->files, "Descriptions (.toml) and sidecars' files (.json)")
+  app->add_option("FILE", options->files, "Descriptions (.toml), sidecars' and agents' files (.json)")
       ->required()
       ->type_name("");
   app->add_option("--format", options->format, "text or json")
--- /dev/null
+++ b/src/fleet/view.cpp
@@ -0,0 +1,232 @@
+#include "fleet/view.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "files/files.h"
+#include "loop/loop.h"
+#include "owner/claim.h"
+#include "zookeeper/node_client.h"
+
+namespace umberdyke::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+using nodes::NodeStat;
+
+// One session that is waited for, call by call. Throws Unreadable where the service can't be reached in time.
+class Caller {
+ public:
+  explicit Caller(const Service& service) : service_(service), end_(net::Clock::now() + service.patience) {
+    nodes::ClientSettings settings;
+    settings.servers = service.servers;
+    settings.session = 4000ms;
+    if (!service.auth_file.empty()) {
+      files::ReadResult read = files::ReadWhole(service.auth_file, 4096);
+      if (!read.error.empty()) throw Unreadable{read.error};
+      while (!read.text.empty() && (read.text.back() == '\n' || read.text.back() == '\r')) read.text.pop_back();
+      settings.auth = std::move(read.text);
+    }
+    client_ = std::make_unique<nodes::NodeClient>(
+        loop_, settings,
+        nodes::NodeClient::Owner{[this](nodes::Session session) { refused_ |= session == nodes::Session::kAuthFailed; },
+                                 [](nodes::Notice, const std::string&) {}});
+    client_->Start();
+    Wait([&] { return client_->connected() || refused_; });
+    if (refused_) throw Unreadable{"the coordination service refuses user and password"};
+    int rc = nodes::kClosing;
+    bool done = false;
+    client_->Sync(service.path, [&](int code) {
+      rc = code;
+      done = true;
+    });
+    Wait([&] { return done; });
+  }
+
+  // An absent node is an empty text with `there` false.
+  std::string Get(const std::string& path, bool* there = nullptr, NodeStat* stat = nullptr) {
+    std::string text;
+    int rc = 0;
+    bool done = false;
+    client_->Read(path, [&](int code, const std::string& data, const NodeStat& s) {
+      rc = code;
+      text = data;
+      if (stat != nullptr) *stat = s;
+      done = true;
+    });
+    Wait([&] { return done; });
+    if (there != nullptr) *there = rc == nodes::kOk;
+    if (rc != nodes::kOk && rc != nodes::kNoNode) throw Unreadable{path + ": " + nodes::ErrorText(rc)};
+    return text;
+  }
+  std::vector<std::string> Children(const std::string& path) {
+    std::vector<std::string> names;
+    int rc = 0;
+    bool done = false;
+    client_->Children(path, [&](int code, std::vector<std::string> got, const NodeStat&) {
+      rc = code;
+      names = std::move(got);
+      done = true;
+    });
+    Wait([&] { return done; });
+    if (rc != nodes::kOk && rc != nodes::kNoNode) throw Unreadable{path + ": " + nodes::ErrorText(rc)};
+    std::sort(names.begin(), names.end());
+    return names;
+  }
+  int Do(const std::vector<nodes::Op>& ops) {
+    int rc = 0;
+    bool done = false;
+    client_->Multi(ops, [&](int code, const std::vector<int>&) {
+      rc = code;
+      done = true;
+    });
+    Wait([&] { return done; });
+    return rc;
+  }
+  void Rest(net::Span time) {
+    const net::Time until = std::min(end_, net::Clock::now() + time);
+    loop_.RunUntil([&] { return net::Clock::now() >= until; }, time);
+    if (net::Clock::now() >= end_) throw Late();
+  }
+
+ private:
+  Unreadable Late() const {
+    std::string servers;
+    for (const std::string& server : service_.servers) servers += (servers.empty() ? "" : ", ") + server;
+    return Unreadable{"the coordination service at " + servers + " did not answer within " +
+                      std::to_string(service_.patience.count()) + " ms"};
+  }
+  void Wait(const std::function<bool()>& done) {
+    if (!loop_.RunUntil(done, std::max<net::Span>(1ms, end_ - net::Clock::now()))) throw Late();
+  }
+
+  const Service& service_;
+  const net::Time end_;
+  net::Loop loop_;
+  std::unique_ptr<nodes::NodeClient> client_;
+  bool refused_ = false;
+};
+
+template <typename T>
+void Take(ReadAs<T> read, T* into, const std::string& path, std::vector<std::string>* troubles) {
+  if (auto* good = std::get_if<T>(&read)) {
+    *into = std::move(*good);
+  } else {
+    troubles->push_back(path + ": " + std::get<Unreadable>(read).why);
+  }
+}
+
+// The claims in order, as the service stands.
+std::vector<std::string> Standers(Caller& caller, const std::string& path) {
+  std::vector<std::pair<std::int64_t, std::string>> order;
+  for (const std::string& name : caller.Children(path)) {
+    if (const auto read = owner::ReadClaimName(name)) order.emplace_back(read->number, name);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::string> names;
+  for (auto& [number, name] : order) names.push_back(std::move(name));
+  return names;
+}
+
+void CheckRoot(Caller& caller, const Service& service) {
+  bool there = false;
+  const std::string text = caller.Get(service.path, &there);
+  if (!there) throw Unreadable{"no agent has been at work under " + service.path + " yet"};
+  const auto root = ReadRoot(text, service.application);
+  if (const auto* bad = std::get_if<Unreadable>(&root)) throw *bad;
+}
+
+DutyView LookAt(Caller& caller, const Paths& paths, const std::string& duty) {
+  DutyView view;
+  view.name = duty;
+  for (const std::string& name : Standers(caller, paths.Claims(duty))) {
+    Stander stander;
+    stander.name = name;
+    NodeStat stat;
+    bool there = false;
+    const std::string path = paths.Claims(duty) + "/" + name;
+    const std::string text = caller.Get(path, &there, &stat);
+    if (!there) continue;  // it went while we looked
+    Take(ReadAgent(text), &stander.agent, path, &view.troubles);
+    stander.term = stat.birth;
+    view.standers.push_back(std::move(stander));
+  }
+  NodeStat stat;
+  Take(ReadJournal(caller.Get(paths.Journal(duty), nullptr, &stat)), &view.journal, paths.Journal(duty),
+       &view.troubles);
+  if (stat.modified_ms > 0) view.journal_age_ms = std::max<std::int64_t>(0, nodes::WallMillis() - stat.modified_ms);
+  Take(ReadHistory(caller.Get(paths.History(duty))), &view.history, paths.History(duty), &view.troubles);
+  return view;
+}
+
+}  // namespace
+
+std::variant<View, Unreadable> Look(const Service& service) {
+  try {
+    Caller caller(service);
+    CheckRoot(caller, service);
+    const Paths paths{service.path};
+    View view;
+    for (const std::string& host : caller.Children(paths.Agents())) {
+      Agent agent;
+      bool there = false;
+      const std::string text = caller.Get(paths.Agent(host), &there);
+      if (!there) continue;
+      Take(ReadAgent(text), &agent, paths.Agent(host), &view.troubles);
+      if (agent.host.empty()) agent.host = host;
+      view.agents.push_back(std::move(agent));
+    }
+    view.hosts = caller.Children(paths.Hosts());
+    for (const std::string& duty : caller.Children(paths.Duties())) view.duties.push_back(LookAt(caller, paths, duty));
+    NodeStat stat;
+    bool there = false;
+    view.census_text = caller.Get(paths.Census(), &there, &stat);
+    if (there && !view.census_text.empty()) {
+      Census census;
+      const size_t before = view.troubles.size();
+      Take(ReadCensus(view.census_text), &census, paths.Census(), &view.troubles);
+      if (view.troubles.size() == before) view.census = std::move(census);
+      view.census_age_ms = std::max<std::int64_t>(0, nodes::WallMillis() - stat.modified_ms);
+    }
+    return view;
+  } catch (const Unreadable& why) {
+    return why;
+  }
+}
+
+std::variant<Resigned, Unreadable> AskToResign(const Service& service, const std::string& duty) {
+  try {
+    Caller caller(service);
+    CheckRoot(caller, service);
+    const Paths paths{service.path};
+    const std::vector<std::string> duties = caller.Children(paths.Duties());
+    if (std::find(duties.begin(), duties.end(), duty) == duties.end()) {
+      return Unreadable{"there is no duty " + duty + " under " + service.path};
+    }
+    const DutyView before = LookAt(caller, paths, duty);
+    if (before.standers.empty()) return Unreadable{"nobody owns " + duty};
+    const owner::Term term = before.standers.front().term;
+    // The wish holds for this owner and no other; written with its claim still there, or not at all.
+    const std::string claim = paths.Claims(duty) + "/" + before.standers.front().name;
+    bool there = false;
+    caller.Get(paths.Resign(duty), &there);
+    const nodes::Op wish{there ? nodes::Op::Kind::kSet : nodes::Op::Kind::kCreate, paths.Resign(duty),
+                         PrintResign(term), -1};
+    const int rc = caller.Do({{nodes::Op::Kind::kCheck, claim, "", -1}, wish});
+    if (rc != nodes::kOk) return Unreadable{"the wish could not be left: " + nodes::ErrorText(rc)};
+    for (;;) {
+      const DutyView now = LookAt(caller, paths, duty);
+      if (now.standers.empty()) return Resigned{term, 0, ""};
+      const Stander& owner = now.standers.front();
+      const bool took_over = owner.term != term && !now.history.empty() && now.history.back().term == owner.term;
+      if (took_over) return Resigned{term, owner.term, owner.agent.host};
+      caller.Rest(50ms);
+    }
+  } catch (const Unreadable& why) {
+    return why;
+  }
+}
+
+}  // namespace umberdyke::fleet
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -26,6 +26,18 @@
       {Event::kMembershipHolding, "membership-holding", Level::kWarning, true},
       {Event::kMembershipHeld, "membership-holding-ends", Level::kInfo, true},
       {Event::kMembershipRefused, "membership-refused", Level::kError, true},
+      {Event::kOrderTaken, "order-taken", Level::kDebug, false},
+      {Event::kOrderRefused, "order-refused", Level::kWarning, true},
+      {Event::kAgentBegins, "agent-begins", Level::kInfo, false},
+      {Event::kAgentEnds, "agent-ends", Level::kInfo, false},
+      {Event::kFleetConnected, "fleet-connected", Level::kInfo, true},
+      {Event::kFleetInterrupted, "fleet-interrupted", Level::kWarning, true},
+      {Event::kFleetExpired, "fleet-expired", Level::kWarning, true},
+      {Event::kFleetRefused, "fleet-refused", Level::kError, true},
+      {Event::kOwnerBegins, "owner-begins", Level::kInfo, false},
+      {Event::kOwnerEnds, "owner-ends", Level::kInfo, false},
+      {Event::kStepDone, "step-done", Level::kDebug, true},
+      {Event::kStepFailed, "step-failed", Level::kWarning, true},
   };
   return kinds;
 }
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -32,6 +32,18 @@
   kMembershipHolding,
   kMembershipHeld,
   kMembershipRefused,
+  kOrderTaken,
+  kOrderRefused,
+  kAgentBegins,
+  kAgentEnds,
+  kFleetConnected,
+  kFleetInterrupted,
+  kFleetExpired,
+  kFleetRefused,
+  kOwnerBegins,
+  kOwnerEnds,
+  kStepDone,
+  kStepFailed,
 };
 enum class Level { kDebug, kInfo, kWarning, kError };
 
@@ -61,7 +73,7 @@
     Time filled{};
     std::uint64_t held_back = 0;
   };
-  std::array<Bucket, 24> buckets_{};
+  std::array<Bucket, 48> buckets_{};
 };
 
 }  // namespace umberdyke::log
--- a/src/platform/console_calls.cpp
+++ b/src/platform/console_calls.cpp
@@ -1,7 +1,9 @@
 #include "platform/console_calls.h"
 
 #include <array>
+#include <charconv>
 #include <cstdio>
+#include <optional>
 #include <string_view>
 
 namespace umberdyke::net {
@@ -12,12 +14,54 @@
   std::string_view method;
   ConsoleCall call;
 };
-constexpr std::array<Path, 4> kPaths = {{{"/v1/readyz", "GET", ConsoleCall::kReady},
+constexpr std::array<Path, 5> kPaths = {{{"/v1/readyz", "GET", ConsoleCall::kReady},
                                          {"/v1/metrics", "GET", ConsoleCall::kMetrics},
                                          {"/v1/sidecar/drain", "PUT", ConsoleCall::kDrain},
-                                         {"/v1/sidecar/activate", "PUT", ConsoleCall::kActivate}}};
+                                         {"/v1/sidecar/activate", "PUT", ConsoleCall::kActivate},
+                                         {"/v1/fleet", "GET", ConsoleCall::kFleet}}};
+constexpr std::string_view kOrders = "/v1/fleet/orders/";
+constexpr std::string_view kNotes = "/v1/fleet/notes/";
+constexpr const char* kApplicationHeader = "X-Fleet-Application";
+constexpr const char* kLifeHeader = "X-Fleet-Life";
+constexpr const char* kTermHeader = "X-Fleet-Term";
+constexpr const char* kStepHeader = "X-Fleet-Step";
+constexpr size_t kLongestWord = 128;
 
-std::string Plain(std::string_view name) {
+// A number above zero in plain digits: no sign, blank, point or leading zero.
+std::optional<std::int64_t> Positive(const std::string* text) {
+  std::int64_t number = 0;
+  if (text == nullptr || text->empty() || (*text)[0] < '1' || (*text)[0] > '9') return std::nullopt;
+  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), number);
+  if (error != std::errc() || end != text->data() + text->size()) return std::nullopt;
+  return number;
+}
+
+std::variant<ConsoleCall, FleetOrder, FleetNote, NoCall> ReadOrder(const Message& message, std::string_view duty) {
+  FleetOrder order;
+  order.duty = std::string(duty);
+  const std::string* application = message.Find(kApplicationHeader);
+  const std::string* life = message.Find(kLifeHeader);
+  if (application == nullptr || application->empty() || application->size() > kLongestWord) {
+    return NoCall{400, "an order names its application", ""};
+  }
+  if (life == nullptr || life->empty() || life->size() > kLongestWord) {
+    return NoCall{400, "an order names the life that it is for", ""};
+  }
+  const auto term = Positive(message.Find(kTermHeader)), step = Positive(message.Find(kStepHeader));
+  if (!term) return NoCall{400, "an order has a term, a whole number above zero", ""};
+  if (!step) return NoCall{400, "an order has a step, a whole number above zero", ""};
+  if (message.body.size() > kLongestNote) return NoCall{413, "the order is too long", ""};
+  order.application = *application;
+  order.life = *life;
+  order.term = *term;
+  order.step = *step;
+  order.text = message.body;
+  return order;
+}
+
+}  // namespace
+
+std::string PlainName(std::string_view name) {
   std::string out;
   for (const char c : name) {
     const auto byte = static_cast<unsigned char>(c);
@@ -32,13 +76,15 @@
   return out;
 }
 
+namespace {
+
 void Line(std::string_view name, std::uint64_t count, std::string* out) {
   out->append(name).append("=").append(std::to_string(count)).append("\n");
 }
 
 }  // namespace
 
-std::variant<ConsoleCall, NoCall> ReadCall(const Message& message) {
+std::variant<ConsoleCall, FleetOrder, FleetNote, NoCall> ReadCall(const Message& message) {
   const std::string_view target(message.target);
   const std::string_view path = target.substr(0, target.find('?'));
   for (const Path& known : kPaths) {
@@ -46,9 +92,32 @@
     if (message.method == known.method) return known.call;
     return NoCall{405, "this path takes " + std::string(known.method), std::string(known.method)};
   }
+  if (path.starts_with(kOrders) && path.size() - kOrders.size() <= kLongestWord) {
+    if (message.method != "PUT") return NoCall{405, "this path takes PUT", "PUT"};
+    return ReadOrder(message, path.substr(kOrders.size()));
+  }
+  if (path.starts_with(kNotes) && path.size() - kNotes.size() <= kLongestWord) {
+    if (message.method != "GET") return NoCall{405, "this path takes GET", "GET"};
+    return FleetNote{std::string(path.substr(kNotes.size()))};
+  }
   return NoCall{404, "no such path", ""};
 }
 
+std::string OrderRequest(const FleetOrder& order) {
+  return WriteRequest("PUT", std::string(kOrders) + order.duty,
+                      {{"Host", "sidecar"},
+                       {"Connection", "close"},
+                       {kApplicationHeader, order.application},
+                       {kLifeHeader, order.life},
+                       {kTermHeader, std::to_string(order.term)},
+                       {kStepHeader, std::to_string(order.step)}},
+                      order.text);
+}
+
+std::string FleetRequest() {
+  return WriteRequest("GET", "/v1/fleet", {{"Host", "sidecar"}, {"Connection", "close"}}, "");
+}
+
 NoCall NoCallFor(Parsed why) {
   switch (why) {
     case Parsed::kHeadTooLong:
@@ -65,7 +134,7 @@
 std::string PrintFigures(const Figures& figures) {
   std::string out;
   for (const Figures::OfClass& c : figures.classes) {
-    const std::string name = Plain(c.name);
+    const std::string name = PlainName(c.name);
     Line("success." + name, c.success, &out);
     Line("overload." + name, c.overload, &out);
     Line("error." + name, c.error, &out);
--- a/src/platform/console_calls.h
+++ b/src/platform/console_calls.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -11,7 +12,20 @@
 
 namespace umberdyke::net {
 
-enum class ConsoleCall { kReady, kMetrics, kDrain, kActivate };
+enum class ConsoleCall { kReady, kMetrics, kDrain, kActivate, kFleet };
+
+// What an owner of a fleet-wide duty wants this sidecar to take, numbered so that it is taken once (owner/fence.h).
+struct FleetOrder {
+  std::string duty, application, life;
+  std::int64_t term = 0;
+  std::int64_t step = 0;
+  std::string text;
+};
+// The note that the latest order of a duty left here.
+struct FleetNote {
+  std::string duty;
+};
+constexpr size_t kLongestNote = 16 * 1024;
 
 // A call that is none: the status says why. `allowed` names the method of a path that exists.
 struct NoCall {
@@ -20,7 +34,8 @@
   std::string allowed;
 };
 
-std::variant<ConsoleCall, NoCall> ReadCall(const Message& message);
+// An order whose term, step or life is missing or is no plain positive number is a NoCall.
+std::variant<ConsoleCall, FleetOrder, FleetNote, NoCall> ReadCall(const Message& message);
 NoCall NoCallFor(Parsed why);
 
 // What operators are told; counted from the process's start.
@@ -41,6 +56,13 @@
 // A line each, "name=count". A class's name is written so that it can break neither line nor name.
 std::string PrintFigures(const Figures& figures);
 
+// The name of a line, written so that it can break neither line nor name.
+std::string PlainName(std::string_view name);
+
+// An order as an agent sends it, and the names of its answer.
+std::string OrderRequest(const FleetOrder& order);
+std::string FleetRequest();
+
 // Always the connection's last: it holds one call.
 std::string CallAnswer(int status, const std::string& body);
 std::string NoCallAnswer(const NoCall& no_call);
--- a/src/sidecar/life.h
+++ b/src/sidecar/life.h
@@ -2,6 +2,8 @@
 #ifndef UMBERDYKE_SIDECAR_LIFE_H_
 #define UMBERDYKE_SIDECAR_LIFE_H_
 
+#include <string_view>
+
 namespace umberdyke::net {
 
 class Life {
@@ -17,6 +19,10 @@
     if (drained_) return State::kDrained;
     return can_serve_ ? State::kServing : State::kStarting;
   }
+  std::string_view name() const {
+    constexpr std::string_view kNames[] = {"starting", "serving", "drained", "ending"};
+    return kNames[static_cast<int>(state())];
+  }
   bool ready() const { return state() == State::kServing; }
 
   void Serve() { can_serve_ = true; }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -52,9 +52,7 @@
   return std::max<Span>(KillTime(settings) - useful - kToSpare, kServeOnAtLeast);
 }
 
-int MostCallers(const Config& config) {
-  return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers);
-}
+int MostCallers(const Config& config) { return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers); }
 
 // Of clients, and as many of real servers. Two processes of one sidecar hold half of its descriptors each.
 int EdgeLimit(const Config& config, bool shared = false) {
@@ -107,7 +105,8 @@
       idle_timer_(loop, [this] { CloseIdleEdges(); }),
       tick_(loop, [this] { Tick(); }) {
   if (config_.console) {
-    console_ = std::make_unique<Console>(loop, *this, counters_, MostCallers(config_));
+    const ConsoleIdentity identity{config_.application, config_.name, config_.settings.tier};
+    console_ = std::make_unique<Console>(loop, *this, identity, counters_, *log_, MostCallers(config_));
     if (const std::string error = console_->Listen(*config_.console); !error.empty()) {
       throw ConfigError("configuration: console cannot be listened on: " + error);
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -47,6 +47,7 @@
 
  private:
   bool ReadyToServe() const override { return life_.ready(); }
+  std::string_view StateName() const override { return life_.name(); }
   Figures CurrentFigures() const override;
   bool SendClientsAway() override;
   bool TakeClientsBack() override;
--- a/src/zookeeper/node_client.cpp
+++ b/src/zookeeper/node_client.cpp
@@ -25,7 +25,7 @@
   stat.birth = in.Long();
   stat.changed = in.Long();
   in.Long();
-  in.Long();
+  stat.modified_ms = in.Long();
   stat.version = in.Int();
   in.Int();
   in.Int();
@@ -38,6 +38,12 @@
 
 }  // namespace
 
+std::int64_t WallMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string ErrorText(int rc) {
   switch (rc) {
     case kOk:
@@ -337,6 +343,10 @@
   ReadWatched<std::string>(jute::kGet, path, &jute::Reader::Text, &data_watches_, std::move(done));
 }
 
+void NodeClient::Names(const std::string& path, OnNames done) {
+  ReadWatched<std::vector<std::string>>(jute::kGetChildren2, path, &jute::Reader::Texts, nullptr, std::move(done));
+}
+
 void NodeClient::Read(const std::string& path, OnContent done) {
   ReadWatched<std::string>(jute::kGet, path, &jute::Reader::Text, nullptr, std::move(done));
 }
--- a/src/zookeeper/node_client.h
+++ b/src/zookeeper/node_client.h
@@ -39,6 +39,8 @@
   kClosing = -116,  // the client was stopped
 };
 std::string ErrorText(int rc);
+// Now, for comparing with NodeStat::modified_ms where a person reads it.
+std::int64_t WallMillis();
 
 struct ClientSettings {
   std::vector<std::string> servers;  // "10.0.0.1:2181"; tried in an order drawn at the start
@@ -55,7 +57,8 @@
   std::int64_t changed = 0;  // that last changed its data
   std::int64_t listed = 0;   // that last changed its list of children
   int version = 0;
-  std::int64_t owner = 0;  // session of an ephemeral node
+  std::int64_t owner = 0;        // session of an ephemeral node
+  std::int64_t modified_ms = 0;  // by the service's clock; to be shown, and to decide nothing
 };
 
 // A part of Multi.
@@ -98,7 +101,8 @@
   void CreatePersistent(const std::string& path, OnDone done);
   void Set(const std::string& path, const std::string& data, OnDone done);
   void Delete(const std::string& path, OnDone done);
-  // As Get, and no watch is set.
+  // As Children and Get, and no watch is set.
+  void Names(const std::string& path, OnNames done);
   void Read(const std::string& path, OnContent done);
   // `watch`: a notice once it is created, changed or gone, whether it is there now or not.
   void Exists(const std::string& path, bool watch, std::function<void(int rc, const NodeStat& stat)> done);
