--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr Span kAgain = 1s;        // after a refusal, or beside another agent of the same name
+constexpr Span kAgain = 1s;         // after a refusal, or beside another agent of the same name
 constexpr Span kRenewAfter = 50ms;  // after a session that has expired
 constexpr Span kLongestEnd = 500ms;
 constexpr Span kSpread = 60ms;  // between the standing of two hosts for one duty, at the start
@@ -99,8 +99,9 @@
   claim.rest = settings_.rest;
   const auto add = [&](std::unique_ptr<Duty> duty) {
     const Span after = StandAfter(settings_, duty->name());
-    runners_.push_back(std::make_unique<Runner>(
-        Runner::Parts{loop_, client_, paths_, counters_, *log_, self_, claim, wrong}, std::move(duty), after));
+    runners_.push_back(
+        std::make_unique<Runner>(Runner::Parts{loop_, client_, paths_, counters_, *log_, self_, claim, wrong},
+                                 std::move(duty), after));
   };
   add(std::make_unique<CensusDuty>(loop_, settings_, paths_, counters_));
   add(std::make_unique<TidyingDuty>(loop_, client_, settings_, paths_, duties, counters_));
@@ -110,8 +111,8 @@
 
 void Agent::Start() {
   log_->Say(Event::kAgentBegins,
-            "the agent of host " + settings_.host + " begins, with " + std::to_string(settings_.sidecars.size()) +
-                " sidecars on its list",
+            "the agent of host " + settings_.host + " begins, with " +
+                std::to_string(settings_.sidecars.size()) + " sidecars on its list",
             {{"application", settings_.application},
              {"host", settings_.host},
              {"sidecars", static_cast<std::int64_t>(settings_.sidecars.size())}});
@@ -198,7 +199,8 @@
     return client_.Read(paths_.base, [this, run = run_](int rc, const std::string& data, const NodeStat&) {
       if (run != run_ || rc != nodes::kOk) return;
       const auto root = fleet::ReadRoot(data, settings_.application);
-      if (const auto* bad = std::get_if<fleet::Unreadable>(&root)) return Again(paths_.base + ": " + bad->why);
+      if (const auto* bad = std::get_if<fleet::Unreadable>(&root))
+        return Again(paths_.base + ": " + bad->why);
       Register();
     });
   }
@@ -212,8 +214,8 @@
   });
 }
 
-// Its own record; where another session holds it, this is a second agent of one name, or an earlier life of this one
-// whose session has not run out.
+// Its own record; where another session holds it, this is a second agent of one name, or an earlier life of
+// this one whose session has not run out.
 void Agent::Register() {
   const std::string path = paths_.Agent(settings_.host);
   client_.CreateEphemeral(path, fleet::Print(self_), [this, path, run = run_](int rc) {
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -1,8 +1,8 @@
-// Puts the agent together: a session with the coordination service, the folders that its application's agents share, its
-// own record there, and a runner for each duty.
+// Puts the agent together: a session with the coordination service, the folders that its application's agents
+// share, its own record there, and a runner for each duty.
 //
-// It bears on no request: it reaches sidecars by their consoles alone, and where the service is gone it waits. It may
-// not know the sidecar's inside or the decision module.
+// It bears on no request: it reaches sidecars by their consoles alone, and where the service is gone it
+// waits. It may not know the sidecar's inside or the decision module.
 #ifndef UMBERDYKE_AGENT_AGENT_H_
 #define UMBERDYKE_AGENT_AGENT_H_
 
@@ -28,7 +28,8 @@
   ~Agent();
 
   void Start();
-  // Leaves its duties, so that another takes them at once, and ends the session; `done` follows soon in any case.
+  // Leaves its duties, so that another takes them at once, and ends the session; `done` follows soon in any
+  // case.
   void End(std::function<void()> done);
   const net::Counters& counters() const { return counters_; }
 
--- a/src/agent/boot_clock.h
+++ b/src/agent/boot_clock.h
@@ -11,7 +11,8 @@
 inline owner::Moment BootNow() {
   timespec now{};
   clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::seconds(now.tv_sec) + std::chrono::duration_cast<owner::Moment>(std::chrono::nanoseconds(now.tv_nsec));
+  return std::chrono::seconds(now.tv_sec) +
+         std::chrono::duration_cast<owner::Moment>(std::chrono::nanoseconds(now.tv_nsec));
 }
 
 }  // namespace umberdyke::agent
--- a/src/agent/census.cpp
+++ b/src/agent/census.cpp
@@ -33,7 +33,8 @@
                        net::Counters& counters)
     : settings_(settings), paths_(paths), counters_(counters), client_(loop) {}
 
-void CensusDuty::Prepare(const owner::Journal& /*journal*/, std::function<void(std::optional<std::string>)> done) {
+void CensusDuty::Prepare(const owner::Journal& /*journal*/,
+                         std::function<void(std::optional<std::string>)> done) {
   client_.Drop();
   seen_.clear();
   if (settings_.sidecars.empty()) return done("");
@@ -44,7 +45,8 @@
                    if (answer.status == 200) {
                      Seen seen;
                      seen.lines = ReadLines(answer.body);
-                     // Another sidecar at that address, or another application's, is not the one that is meant.
+                     // Another sidecar at that address, or another application's, is not the one that is
+                     // meant.
                      const bool same = Text(seen.lines, "name") == name &&
                                        Text(seen.lines, "application") == settings_.application;
                      if (same) seen.life = Text(seen.lines, "life");
@@ -72,7 +74,8 @@
     const auto it = seen_.find(sidecar.name);
     if (it == seen_.end()) {
       entry.state = "unknown";
-      const bool counted = before.is_object() && before.contains(sidecar.name) && before[sidecar.name].is_number();
+      const bool counted =
+          before.is_object() && before.contains(sidecar.name) && before[sidecar.name].is_number();
       entry.unknown_steps = 1 + (counted ? before[sidecar.name].get<std::int64_t>() : 0);
     } else {
       const auto& lines = it->second.lines;
@@ -112,18 +115,20 @@
     }
     ++*left;
     const net::FleetOrder order{"census", settings_.application, it->second.life, work.term, work.step, text};
-    client_.Call(sidecar.console, net::OrderRequest(order), kCallTime, [this, one_less, result](ConsoleAnswer answer) {
-      const auto lines = ReadLines(answer.body);
-      if (answer.status == 200) {
-        counters_.Add("orders_sent");
-      } else if (answer.status == 409 && Text(lines, "verdict") == "of an older term") {
-        result->worked = false;
-        result->replaced = true;
-      } else {
-        counters_.Add(answer.status == 0 ? "orders_unanswered" : "orders_refused");  // the next census asks it again
-      }
-      one_less();
-    });
+    client_.Call(sidecar.console, net::OrderRequest(order), kCallTime,
+                 [this, one_less, result](ConsoleAnswer answer) {
+                   const auto lines = ReadLines(answer.body);
+                   if (answer.status == 200) {
+                     counters_.Add("orders_sent");
+                   } else if (answer.status == 409 && Text(lines, "verdict") == "of an older term") {
+                     result->worked = false;
+                     result->replaced = true;
+                   } else {
+                     counters_.Add(answer.status == 0 ? "orders_unanswered"
+                                                      : "orders_refused");  // the next census asks it again
+                   }
+                   one_less();
+                 });
   }
   one_less();
 }
--- a/src/agent/census.h
+++ b/src/agent/census.h
@@ -1,6 +1,6 @@
-// The census: asks every sidecar of the application at its console what it is and does, publishes one bounded summary
-// by zone and tier, and leaves it at each sidecar as a note, so that it can be read on any host while all else is cut
-// off. Who could not be asked is "unknown", never "gone".
+// The census: asks every sidecar of the application at its console what it is and does, publishes one bounded
+// summary by zone and tier, and leaves it at each sidecar as a note, so that it can be read on any host while
+// all else is cut off. Who could not be asked is "unknown", never "gone".
 #ifndef UMBERDYKE_AGENT_CENSUS_H_
 #define UMBERDYKE_AGENT_CENSUS_H_
 
@@ -17,7 +17,8 @@
 
 class CensusDuty : public Duty {
  public:
-  CensusDuty(net::Loop& loop, const config::AgentFile& settings, const fleet::Paths& paths, net::Counters& counters);
+  CensusDuty(net::Loop& loop, const config::AgentFile& settings, const fleet::Paths& paths,
+             net::Counters& counters);
 
   std::string_view name() const override { return "census"; }
   net::Span pace() const override { return settings_.census_every; }
--- a/src/agent/console_client.cpp
+++ b/src/agent/console_client.cpp
@@ -22,12 +22,16 @@
 class ConsoleClient::Exchange : public net::StreamUser {
  public:
   Exchange(ConsoleClient& owner, Waiting call)
-      : owner_(owner), call_(std::move(call)), stream(owner.loop_, this), timer_(owner.loop_, [this] { Fail(); }) {}
+      : owner_(owner),
+        call_(std::move(call)),
+        stream(owner.loop_, this),
+        timer_(owner.loop_, [this] { Fail(); }) {}
 
   void Start() {
     timer_.Start(call_.time);
     const auto address = net::ParseAddress(call_.address);
-    if (!address || !stream.Connect(*address)) timer_.Start(net::Span(0));  // told as a call that had no answer
+    if (!address || !stream.Connect(*address))
+      timer_.Start(net::Span(0));  // told as a call that had no answer
   }
   void OnConnected(bool ok) override {
     if (!ok) return Fail();
--- a/src/agent/console_client.h
+++ b/src/agent/console_client.h
@@ -1,5 +1,5 @@
-// Calls to sidecars' consoles: one call a connection, each with its time, so many at once. Knows HTTP and addresses,
-// and nothing of what is asked.
+// Calls to sidecars' consoles: one call a connection, each with its time, so many at once. Knows HTTP and
+// addresses, and nothing of what is asked.
 #ifndef UMBERDYKE_AGENT_CONSOLE_CLIENT_H_
 #define UMBERDYKE_AGENT_CONSOLE_CLIENT_H_
 
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -59,12 +59,14 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::string path;
   bool check = false;
-  CLI::App app("The agent of one host: does duties on behalf of the fleet, each owned by one agent at a time.");
+  CLI::App app(
+      "The agent of one host: does duties on behalf of the fleet, each owned by one agent at a time.");
   app.set_version_flag("--version", "umberdyke_agent " UMBERDYKE_VERSION);
   app.add_option("--config", path, "The JSON file that 'umberdykectl config write' made for this host")
       ->required()
       ->type_name("FILE");
-  app.add_flag("--check", check, "Read the file, say what is wrong, and exit: 0 clean, 1 findings, 2 unreadable");
+  app.add_flag("--check", check,
+               "Read the file, say what is wrong, and exit: 0 clean, 1 findings, 2 unreadable");
   app.footer("Example:\n  umberdyke_agent --config /etc/umberdyke/linen-track.front-a.agent.json");
   try {
     app.parse(argc, argv);
--- a/src/agent/runner.cpp
+++ b/src/agent/runner.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr Span kLongestStep = 10s;  // a duty that says nothing for so long hangs
+constexpr Span kLongestStep = 10s;   // a duty that says nothing for so long hangs
 constexpr int kFailuresToLeave = 6;  // in a row; then another may try
 constexpr std::int64_t kWrongEach = 3;
 
@@ -46,7 +46,10 @@
       claim_(parts_.claim),
       stand_after_(stand_after),
       backoff_(200ms, 30s),
-      wake_(parts_.loop, [this] { Tell([](owner::Claim& c, owner::Moment now, owner::Actions* out) { c.Tick(now, out); }); }),
+      wake_(parts_.loop,
+            [this] {
+              Tell([](owner::Claim& c, owner::Moment now, owner::Actions* out) { c.Tick(now, out); });
+            }),
       stand_(parts_.loop,
              [this] {
                stood_ = true;
@@ -143,9 +146,8 @@
     case Action::Kind::kList:
       return List(ticket);
     case Action::Kind::kCreate: {
-      const auto done = to_claim([ticket](owner::Claim& c, owner::Moment now, Told told, owner::Actions* out) {
-        c.Created(now, ticket, told, out);
-      });
+      const auto done = to_claim([ticket](owner::Claim& c, owner::Moment now, Told told,
+                                          owner::Actions* out) { c.Created(now, ticket, told, out); });
       return client.CreateSequential(path, fleet::Print(parts_.agent),
                                      [done](int rc, const std::string&) { done(rc); });
     }
@@ -157,23 +159,26 @@
         });
       });
     case Action::Kind::kWatch: {
-      const auto done = to_claim([ticket](owner::Claim& c, owner::Moment now, Told told, owner::Actions* out) {
-        c.Watched(now, ticket, told, out);
-      });
+      const auto done = to_claim([ticket](owner::Claim& c, owner::Moment now, Told told,
+                                          owner::Actions* out) { c.Watched(now, ticket, told, out); });
       return client.Exists(path, true, [done](int rc, const NodeStat&) { done(rc); });
     }
     case Action::Kind::kConfirm: {
-      // A write, so that the leader itself has heard of the session: a member that lags or is cut off can't say this.
-      const auto done = to_claim([this, ticket](owner::Claim& c, owner::Moment now, Told told, owner::Actions* out) {
-        if (parts_.wrong.believes && told == Told::kAbsent) told = Told::kOk;
-        c.Confirmed(now, ticket, told, out);
-      });
-      return client.Multi({{Op::Kind::kCheck, path, "", -1}}, [done](int rc, const std::vector<int>&) { done(rc); });
+      // A write, so that the leader itself has heard of the session: a member that lags or is cut off can't
+      // say this.
+      const auto done =
+          to_claim([this, ticket](owner::Claim& c, owner::Moment now, Told told, owner::Actions* out) {
+            if (parts_.wrong.believes && told == Told::kAbsent) told = Told::kOk;
+            c.Confirmed(now, ticket, told, out);
+          });
+      return client.Multi({{Op::Kind::kCheck, path, "", -1}},
+                          [done](int rc, const std::vector<int>&) { done(rc); });
     }
     case Action::Kind::kRemove: {
-      const auto done = to_claim([ticket](owner::Claim& c, owner::Moment now, Told told, owner::Actions* out) {
-        if (ticket != 0) c.Removed(now, ticket, told, out);
-      });
+      const auto done =
+          to_claim([ticket](owner::Claim& c, owner::Moment now, Told told, owner::Actions* out) {
+            if (ticket != 0) c.Removed(now, ticket, told, out);
+          });
       return client.Delete(path, done);
     }
     default:
@@ -320,8 +325,8 @@
   });
 }
 
-// The step stands in the journal before anything of it is done. The writing also shows every place that was asked
-// before it that this claim stood in that place's present life (owner/fence.h).
+// The step stands in the journal before anything of it is done. The writing also shows every place that was
+// asked before it that this claim stood in that place's present life (owner/fence.h).
 void Runner::Mean(std::optional<std::string> plan) {
   hang_.Stop();
   if (journal_.committed && !plan) {
@@ -339,10 +344,12 @@
   if (!told_history_) {
     std::vector<fleet::Tenure> history = history_;
     const std::int64_t without =
-        gone_ == net::Time() ? -1
-                             : std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - gone_).count();
+        gone_ == net::Time()
+            ? -1
+            : std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - gone_).count();
     history.push_back({claim_.term(), parts_.agent.host, parts_.agent.instance, journal_.step, without});
-    ops.push_back({Op::Kind::kSet, parts_.paths.History(name_), fleet::Print(std::move(history)), history_version_});
+    ops.push_back(
+        {Op::Kind::kSet, parts_.paths.History(name_), fleet::Print(std::move(history)), history_version_});
   }
   const auto still = Still();
   parts_.client.Multi(ops, [this, still, meant = *next](int rc, const std::vector<int>&) {
@@ -360,10 +367,11 @@
   hang_.Start(kLongestStep);
   const auto still = Still();
   const Work work{journal_.term, journal_.step, journal_.plan, journal_.state};
-  duty_->Do(work, [this, still] { return still() && May(); },
-            [this, still](Done done) {
-              if (still()) Finish(std::move(done));
-            });
+  duty_->Do(
+      work, [this, still] { return still() && May(); },
+      [this, still](Done done) {
+        if (still()) Finish(std::move(done));
+      });
 }
 
 void Runner::Finish(Done done) {
@@ -390,10 +398,12 @@
     ++journal_version_;
     backoff_.Worked();
     parts_.counters.Add("steps." + name_);
-    parts_.log.Say(Event::kStepDone, name_ + " step " + std::to_string(journal_.step) + " of term " +
-                                         std::to_string(journal_.term) + " is done",
+    parts_.log.Say(Event::kStepDone,
+                   name_ + " step " + std::to_string(journal_.step) + " of term " +
+                       std::to_string(journal_.term) + " is done",
                    {{"duty", name_}, {"term", journal_.term}, {"step", journal_.step}});
-    if (parts_.wrong.repeats && journal_.step % kWrongEach == 0) return Do();  // once more, with what it planned
+    if (parts_.wrong.repeats && journal_.step % kWrongEach == 0)
+      return Do();  // once more, with what it planned
     step_due_ = Clock::now() + duty_->pace();
     StepIn(duty_->pace());
   });
@@ -414,7 +424,8 @@
 
 // A write that was refused, or whose end is not known.
 void Runner::Unwritten(int rc, const std::string& what) {
-  if (rc == nodes::kConnectionLost || rc == nodes::kClosing || rc == nodes::kSessionExpired) return;  // it is told
+  if (rc == nodes::kConnectionLost || rc == nodes::kClosing || rc == nodes::kSessionExpired)
+    return;  // it is told
   parts_.counters.Add("writes_refused");
   if (rc == nodes::kNoNode) {
     Tell([&](owner::Claim& c, owner::Moment now, owner::Actions* out) { c.Gone(now, c.name(), out); });
--- a/src/agent/runner.h
+++ b/src/agent/runner.h
@@ -1,7 +1,9 @@
-// One duty on one agent: stands for it (owner/claim.h), and while it owns it does the duty's steps by the journal.
+// One duty on one agent: stands for it (owner/claim.h), and while it owns it does the duty's steps by the
+// journal.
 //
-// It may not know what the duty does. Every call to the service goes through here or through the duty's own reads; every
-// write is one transaction with the check of the claim. Nothing is begun that the claim does not allow at that moment.
+// It may not know what the duty does. Every call to the service goes through here or through the duty's own
+// reads; every write is one transaction with the check of the claim. Nothing is begun that the claim does not
+// allow at that moment.
 #ifndef UMBERDYKE_AGENT_RUNNER_H_
 #define UMBERDYKE_AGENT_RUNNER_H_
 
@@ -21,9 +23,10 @@
 
 namespace umberdyke::agent {
 
-// What the lab's wrong stand-ins do otherwise, so that its judge can be shown to catch them. All off in the program.
+// What the lab's wrong stand-ins do otherwise, so that its judge can be shown to catch them. All off in the
+// program.
 struct Wrong {
-  bool believes = false;  // acts on after its time, and under a claim that has gone
+  bool believes = false;   // acts on after its time, and under a claim that has gone
   bool unchecked = false;  // writes without its claim
   bool skips = false;      // leaves every third step out
   bool repeats = false;    // orders every third step twice, under two numbers
--- a/src/agent/tidying.cpp
+++ b/src/agent/tidying.cpp
@@ -36,18 +36,20 @@
 void TidyingDuty::Look(const std::shared_ptr<Search>& search, const std::string& path, bool by_owner) {
   ++search->open;
   const std::weak_ptr<char> alive = alive_;
-  client_.Read(path, [this, alive, search, path, by_owner](int rc, const std::string& data, const NodeStat& stat) {
-    if (alive.expired() || search->run != run_) return;
-    if (rc == nodes::kOk) {
-      search->found.push_back({path, data, stat.version, !by_owner || stat.owner == 0});
-    } else if (rc != nodes::kNoNode) {
-      search->broken = true;
-    }
-    search->Over();
-  });
+  client_.Read(path,
+               [this, alive, search, path, by_owner](int rc, const std::string& data, const NodeStat& stat) {
+                 if (alive.expired() || search->run != run_) return;
+                 if (rc == nodes::kOk) {
+                   search->found.push_back({path, data, stat.version, !by_owner || stat.owner == 0});
+                 } else if (rc != nodes::kNoNode) {
+                   search->broken = true;
+                 }
+                 search->Over();
+               });
 }
 
-void TidyingDuty::Prepare(const owner::Journal& journal, std::function<void(std::optional<std::string>)> done) {
+void TidyingDuty::Prepare(const owner::Journal& journal,
+                          std::function<void(std::optional<std::string>)> done) {
   ++run_;
   if (!journal.committed) return done("");  // its plan stands
   auto search = std::make_shared<Search>();
@@ -61,12 +63,13 @@
   const std::weak_ptr<char> alive = alive_;
   const auto names = [&](const std::string& path, std::function<void(const std::string& name)> each) {
     ++search->open;
-    client_.Names(path, [this, alive, search, each](int rc, const std::vector<std::string>& all, const NodeStat&) {
-      if (alive.expired() || search->run != run_) return;
-      if (rc != nodes::kOk && rc != nodes::kNoNode) search->broken = true;
-      for (const std::string& name : all) each(name);
-      search->Over();
-    });
+    client_.Names(path,
+                  [this, alive, search, each](int rc, const std::vector<std::string>& all, const NodeStat&) {
+                    if (alive.expired() || search->run != run_) return;
+                    if (rc != nodes::kOk && rc != nodes::kNoNode) search->broken = true;
+                    for (const std::string& name : all) each(name);
+                    search->Over();
+                  });
   };
   const auto ephemeral = [&](const std::string& path) {
     names(path, [this, search, path](const std::string& name) { Look(search, path + "/" + name, true); });
--- a/src/agent/tidying.h
+++ b/src/agent/tidying.h
@@ -1,9 +1,9 @@
 // Tidying: removes what nobody owns in the coordination service, and never what somebody does.
 //
-// A node is nobody's where it lies among ephemeral ones and no session owns it, or is the record of a host that the
-// description has no longer, or a wish for an owner that has gone. It is looked at twice: first its version is raised,
-// its data kept; after a while, if nobody has touched it since, it is removed by that version. A node that was made
-// anew in between has another version or an owner, and stays.
+// A node is nobody's where it lies among ephemeral ones and no session owns it, or is the record of a host
+// that the description has no longer, or a wish for an owner that has gone. It is looked at twice: first its
+// version is raised, its data kept; after a while, if nobody has touched it since, it is removed by that
+// version. A node that was made anew in between has another version or an owner, and stays.
 #ifndef UMBERDYKE_AGENT_TIDYING_H_
 #define UMBERDYKE_AGENT_TIDYING_H_
 
@@ -22,8 +22,8 @@
 
 class TidyingDuty : public Duty {
  public:
-  TidyingDuty(net::Loop& loop, nodes::NodeClient& client, const config::AgentFile& settings, const fleet::Paths& paths,
-              std::vector<std::string> duties, net::Counters& counters);
+  TidyingDuty(net::Loop& loop, nodes::NodeClient& client, const config::AgentFile& settings,
+              const fleet::Paths& paths, std::vector<std::string> duties, net::Counters& counters);
 
   std::string_view name() const override { return "tidying"; }
   net::Span pace() const override { return settings_.tidy_every; }
@@ -47,7 +47,8 @@
   const std::vector<std::string> duties_;
   net::Counters& counters_;
   std::uint64_t run_ = 0;
-  // What was marked, with the version it has since and when this agent saw it first: an owner that follows waits anew.
+  // What was marked, with the version it has since and when this agent saw it first: an owner that follows
+  // waits anew.
   std::map<std::string, std::pair<int, net::Time>> marked_;
   std::shared_ptr<char> alive_ = std::make_shared<char>();
 };
--- a/src/config/agent_file.h
+++ b/src/config/agent_file.h
@@ -1,4 +1,5 @@
-// The JSON file that one host's agent starts from, written from the application's description like the sidecars' own.
+// The JSON file that one host's agent starts from, written from the application's description like the
+// sidecars' own.
 #ifndef UMBERDYKE_CONFIG_AGENT_FILE_H_
 #define UMBERDYKE_CONFIG_AGENT_FILE_H_
 
--- a/src/config/check_application.cpp
+++ b/src/config/check_application.cpp
@@ -297,14 +297,15 @@
         const std::string& ours = fleet.path.value;
         if (theirs.empty() || ours.empty() || (!within(theirs, ours) && !within(ours, theirs))) continue;
         Tell(fleet.path.place, "path-shared",
-             "the agents' path " + Quoted(ours) + " and tier " + Quoted(tier.name.value) + "'s " + Quoted(theirs) +
-                 " lie in one another");
+             "the agents' path " + Quoted(ours) + " and tier " + Quoted(tier.name.value) + "'s " +
+                 Quoted(theirs) + " lie in one another");
       }
     }
     for (const SidecarText& s : app_.sidecars) {
       if (!s.console.given) {
         Tell(s.place, "console-missing",
-             "sidecar " + Quoted(s.name.value) + " has no console, and the agents reach sidecars by nothing else");
+             "sidecar " + Quoted(s.name.value) +
+                 " has no console, and the agents reach sidecars by nothing else");
       }
     }
   }
--- a/src/config/sidecar_file.h
+++ b/src/config/sidecar_file.h
@@ -24,8 +24,8 @@
   std::string text;
 };
 
-// The files of all sidecars on that host, in the description's order, and its agent's where there is a fleet; the same
-// description gives the same bytes. The application has to be without findings.
+// The files of all sidecars on that host, in the description's order, and its agent's where there is a fleet;
+// the same description gives the same bytes. The application has to be without findings.
 std::vector<WrittenFile> WriteSidecars(const Application& application, std::string_view host);
 
 // Whether a file is as `config write` left it. Its checksum (XXH3) stands in the file itself.
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -111,9 +111,10 @@
     case ConsoleCall::kMetrics:
       return CallAnswer(200, PrintFigures(owner_.CurrentFigures()));
     case ConsoleCall::kFleet:
-      return CallAnswer(200, "name=" + PlainName(identity_.name) + "\nversion=" UMBERDYKE_VERSION "\ntier=" +
-                                 std::to_string(identity_.tier) + "\nstate=" + std::string(owner_.StateName()) +
-                                 "\n" + notes_.Lines() + PrintFigures(owner_.CurrentFigures()));
+      return CallAnswer(200, "name=" + PlainName(identity_.name) +
+                                 "\nversion=" UMBERDYKE_VERSION "\ntier=" + std::to_string(identity_.tier) +
+                                 "\nstate=" + std::string(owner_.StateName()) + "\n" + notes_.Lines() +
+                                 PrintFigures(owner_.CurrentFigures()));
     case ConsoleCall::kDrain:
       return owner_.SendClientsAway() ? CallAnswer(200, "drained\n") : CallAnswer(409, "it is ending\n");
     case ConsoleCall::kActivate:
--- a/src/console/console.h
+++ b/src/console/console.h
@@ -1,5 +1,5 @@
-// The second address, for operators: is it ready, the figures, send clients away, back to work; and for the agents of
-// the fleet: what it is and does, and the notes of their duties (fleet_notes.h).
+// The second address, for operators: is it ready, the figures, send clients away, back to work; and for the
+// agents of the fleet: what it is and does, and the notes of their duties (fleet_notes.h).
 //
 // It knows the rest of the sidecar only through ConsoleOwner, and never waits: each call is answered in the
 // turn of the loop in which its last byte is read. It is bounded by itself: so many callers at once, each
--- a/src/console/fleet_notes.cpp
+++ b/src/console/fleet_notes.cpp
@@ -28,8 +28,8 @@
 }
 
 std::string FleetNotes::Take(FleetOrder order) {
-  const std::string what = "order " + std::to_string(order.step) + " of term " + std::to_string(order.term) + " for " +
-                           PlainName(order.duty);
+  const std::string what = "order " + std::to_string(order.step) + " of term " + std::to_string(order.term) +
+                           " for " + PlainName(order.duty);
   const auto refuse = [&](const char* counter, int status, const std::string& why, const Note* note) {
     counters_.Add(counter);
     log_.Say(log::Event::kOrderRefused, what + " is refused: " + why,
@@ -58,19 +58,21 @@
   counters_.Add("orders_taken");
   note.text = std::move(order.text);
   note.taken = Clock::now();
-  log_.Say(log::Event::kOrderTaken, what + " is taken",
-           {{"duty", order.duty},
-            {"term", order.term},
-            {"step", order.step},
-            {"life", life_},
-            {"us", std::chrono::duration_cast<std::chrono::microseconds>(note.taken.time_since_epoch()).count()}});
+  log_.Say(
+      log::Event::kOrderTaken, what + " is taken",
+      {{"duty", order.duty},
+       {"term", order.term},
+       {"step", order.step},
+       {"life", life_},
+       {"us", std::chrono::duration_cast<std::chrono::microseconds>(note.taken.time_since_epoch()).count()}});
   return Answer(200, "taken", &note);
 }
 
 std::string FleetNotes::Answer(int status, const std::string& verdict, const Note* note) const {
   std::string body = "verdict=" + verdict + "\nlife=" + life_ + "\n";
   if (note != nullptr) {
-    body += "term=" + std::to_string(note->fence.term()) + "\nstep=" + std::to_string(note->fence.step()) + "\n";
+    body +=
+        "term=" + std::to_string(note->fence.term()) + "\nstep=" + std::to_string(note->fence.step()) + "\n";
   }
   return CallAnswer(status, body);
 }
--- a/src/console/fleet_notes.h
+++ b/src/console/fleet_notes.h
@@ -1,9 +1,9 @@
-// What the owners of fleet-wide duties have this sidecar hold: for each duty the latest note, taken once and never
-// from an older owner (owner/fence.h). Notes are for people and programs on this host, who can read them while
-// everything else is cut off; nothing of them touches a request.
+// What the owners of fleet-wide duties have this sidecar hold: for each duty the latest note, taken once and
+// never from an older owner (owner/fence.h). Notes are for people and programs on this host, who can read
+// them while everything else is cut off; nothing of them touches a request.
 //
-// This room may not know who sends orders or why. It lives as long as the process: each start has a life of its
-// own, drawn at random, which orders have to name.
+// This room may not know who sends orders or why. It lives as long as the process: each start has a life of
+// its own, drawn at random, which orders have to name.
 #ifndef UMBERDYKE_CONSOLE_FLEET_NOTES_H_
 #define UMBERDYKE_CONSOLE_FLEET_NOTES_H_
 
@@ -23,8 +23,8 @@
   // `application`: whose orders are taken; empty: nobody's.
   FleetNotes(std::string application, Counters& counters, log::Log& log);
 
-  // The whole answer: 200 taken, or taken before; 404 an unknown duty; 409 of another application, of an older term
-  // or step; 412 made for another life of this process.
+  // The whole answer: 200 taken, or taken before; 404 an unknown duty; 409 of another application, of an
+  // older term or step; 412 made for another life of this process.
   std::string Take(FleetOrder order);
   std::string Show(const FleetNote& note) const;
   // Lines of "name=value": application, life, and the term, step and age of each duty's note.
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -79,7 +79,8 @@
 
 int Run(const std::vector<std::string>& arguments, const Streams& streams) {
   int status = kDone;
-  CLI::App app("Writes and checks the configuration of umberdyke's sidecars, and tells of their fleet.", "umberdykectl");
+  CLI::App app("Writes and checks the configuration of umberdyke's sidecars, and tells of their fleet.",
+               "umberdykectl");
   app.set_version_flag("--version", "umberdykectl " UMBERDYKE_VERSION);
   app.require_subcommand(1);
   CLI::App* config =
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -1,8 +1,9 @@
 // umberdykectl, the operators' tool: one file a subcommand, each with its words of the command line and its
 // work.
 //
-// This room may not know sockets or the sidecar's inside: what agents keep is read through src/fleet. What it says goes to the streams it is handed, and
-// every subcommand ends with 0 (done, clean), 1 (findings, or refused) or 2 (could not read or write).
+// This room may not know sockets or the sidecar's inside: what agents keep is read through src/fleet. What it
+// says goes to the streams it is handed, and every subcommand ends with 0 (done, clean), 1 (findings, or
+// refused) or 2 (could not read or write).
 #ifndef UMBERDYKE_CTL_COMMAND_H_
 #define UMBERDYKE_CTL_COMMAND_H_
 
--- a/src/ctl/fleet.cpp
+++ b/src/ctl/fleet.cpp
@@ -6,7 +6,9 @@
 namespace umberdyke::ctl {
 
 void DescribeFleet(CLI::App& app, FleetOptions* options) {
-  app.add_option("FILE", options->file, "The application's description, with its [fleet]")->required()->type_name("");
+  app.add_option("FILE", options->file, "The application's description, with its [fleet]")
+      ->required()
+      ->type_name("");
   app.add_option("--format", options->format, "text or json")
       ->check(CLI::IsMember({"text", "json"}))
       ->type_name("FORMAT")
@@ -20,7 +22,8 @@
   const auto app = LoadSound(options.file, streams, status);
   if (!app) return std::nullopt;
   if (!app->fleet.given) {
-    streams.errors << options.file << ": application " << app->name.value << " has no [fleet]: no agents run\n";
+    streams.errors << options.file << ": application " << app->name.value
+                   << " has no [fleet]: no agents run\n";
     *status = kRefused;
     return std::nullopt;
   }
@@ -47,7 +50,8 @@
 }
 
 void AddFleet(CLI::App& app, const Streams& streams, int* status) {
-  CLI::App* fleet = app.add_subcommand("fleet", "What the agents of an application do on behalf of the fleet");
+  CLI::App* fleet =
+      app.add_subcommand("fleet", "What the agents of an application do on behalf of the fleet");
   fleet->require_subcommand(1);
   AddFleetStatus(*fleet, streams, status);
   AddFleetOwner(*fleet, streams, status);
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -1,5 +1,5 @@
-// What the subcommands of 'umberdykectl fleet' share: where the application's agents keep their records, from its
-// description, and how a person is told that they cannot be read.
+// What the subcommands of 'umberdykectl fleet' share: where the application's agents keep their records, from
+// its description, and how a person is told that they cannot be read.
 #ifndef UMBERDYKE_CTL_FLEET_H_
 #define UMBERDYKE_CTL_FLEET_H_
 
--- a/src/ctl/fleet_resign.cpp
+++ b/src/ctl/fleet_resign.cpp
@@ -25,7 +25,8 @@
                        .dump(2)
                 << "\n";
   } else if (resigned.after == 0) {
-    streams.out << options.duty << ": the owner of term " << resigned.before << " has left it; nobody else stands\n";
+    streams.out << options.duty << ": the owner of term " << resigned.before
+                << " has left it; nobody else stands\n";
   } else {
     streams.out << options.duty << ": host " << config::OneLine(resigned.host) << " owns it under term "
                 << resigned.after << "\n";
@@ -41,7 +42,8 @@
   DescribeFleet(*app, options.get());
   app->add_option("--duty", options->duty, "The duty")->required()->type_name("NAME");
   app->footer(
-      "Waits until another owns it. Exit status: 0 another does, 1 nobody else stands, 2 no answer or no owner.\n"
+      "Waits until another owns it. Exit status: 0 another does, 1 nobody else stands, 2 no answer or no "
+      "owner.\n"
       "Example:\n  umberdykectl fleet resign linen-track.toml --duty census");
   app->callback([options, &streams, status] { *status = Resign(*options, streams); });
 }
--- a/src/ctl/fleet_status.cpp
+++ b/src/ctl/fleet_status.cpp
@@ -46,12 +46,13 @@
     out << "host " << config::OneLine(owner.agent.host) << " under term " << owner.term << ", "
         << duty.standers.size() - 1 << " standing by\n";
   }
-  out << "  step " << duty.journal.step << (duty.journal.committed ? " is done" : " is under way") << ", written "
-      << Age(duty.journal_age_ms) << "\n";
+  out << "  step " << duty.journal.step << (duty.journal.committed ? " is done" : " is under way")
+      << ", written " << Age(duty.journal_age_ms) << "\n";
   if (!duty.standers.empty() && duty.journal.term != 0 && duty.journal.term != duty.standers.front().term) {
     out << "  its journal was written last under term " << duty.journal.term << "\n";
   }
-  for (const std::string& trouble : duty.troubles) out << "  cannot be read: " << config::OneLine(trouble) << "\n";
+  for (const std::string& trouble : duty.troubles)
+    out << "  cannot be read: " << config::OneLine(trouble) << "\n";
 }
 
 // 1 where a duty has no owner or something cannot be read, so that scripts may ask.
@@ -73,7 +74,8 @@
   for (const auto& [where, sum] : fleet::Sums(*view.census)) {
     out << "  " << config::OneLine(where.first) << " " << config::OneLine(where.second) << ":";
     for (const auto& [state, count] : sum.states) out << " " << count << " " << config::OneLine(state);
-    for (const auto& [version, count] : sum.versions) out << ", " << count << " of " << config::OneLine(version);
+    for (const auto& [version, count] : sum.versions)
+      out << ", " << count << " of " << config::OneLine(version);
     out << ", " << sum.concurrent << " requests in hand\n";
   }
   for (const fleet::CensusEntry& entry : view.census->sidecars) {
@@ -158,7 +160,8 @@
   CLI::App* app = fleet.add_subcommand("owner", "Who owns a duty, or each");
   DescribeFleet(*app, options.get());
   app->add_option("--duty", options->duty, "One duty alone")->type_name("NAME");
-  app->footer("Exit status as for status.\nExample:\n  umberdykectl fleet owner linen-track.toml --duty census");
+  app->footer(
+      "Exit status as for status.\nExample:\n  umberdykectl fleet owner linen-track.toml --duty census");
   app->callback([options, &streams, status] { *status = Owner(*options, streams); });
 }
 
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -1029,9 +1029,10 @@
     may_take_ = std::max(std::min(kAimShare * aim_, kMostOverQuiet * quiet_),
                          std::min(kOverQuiet * quiet_, kMostOfAim * aim_));
     limit_ = std::max(recent_answers_ / recent_time_ * may_take_, starting ? start : 0);
-    // What chance brings to one copy of many is evened out by the others; at few copies, and in a jam, it is a crowd.
+    // What chance brings to one copy of many the others make up for; with few, or in a jam, it is a crowd.
     const double jam = 1 - std::clamp((may_take_ - latency_) / std::max(1.0, may_take_ - quiet_), 0.0, 1.0);
-    const double chance = limit_ * std::max(0.0, 1 - (1 + jam) / settings_.balancers);
+    const double few = std::max(0.0, 1 - (1 + jam) / settings_.balancers);
+    const double chance = few * std::max(limit_, kStartPerUpstream * servers);  // a lull leaves no limit
     if (answers_seen_ >= kAnswersTell) slack_ = kLimitSlack * std::sqrt(chance) + 1;
   }
 
--- a/src/fleet/records.cpp
+++ b/src/fleet/records.cpp
@@ -45,8 +45,8 @@
     }
     const std::int64_t format = AtLeast(json, "format", 1);
     if (format != kFormat) {
-      return Unreadable{"the agents' path is of format " + std::to_string(format) + "; this program knows format " +
-                        std::to_string(kFormat)};
+      return Unreadable{"the agents' path is of format " + std::to_string(format) +
+                        "; this program knows format " + std::to_string(kFormat)};
     }
     return true;
   });
@@ -159,7 +159,8 @@
   std::string whole = Dump(json);
   if (whole.size() <= most) return whole;
   if (short_form.size() <= most) return short_form;
-  return Dump({{"term", census.term}, {"step", census.step}, {"sidecars", census.sidecars.size()}, {"cut", true}});
+  return Dump(
+      {{"term", census.term}, {"step", census.step}, {"sidecars", census.sidecars.size()}, {"cut", true}});
 }
 
 ReadAs<Census> ReadCensus(std::string_view text) {
--- a/src/fleet/records.h
+++ b/src/fleet/records.h
@@ -1,4 +1,5 @@
-// What the agents of one application keep in the coordination service: where it stands, and its forms, read strictly.
+// What the agents of one application keep in the coordination service: where it stands, and its forms, read
+// strictly.
 //
 //   PATH                          whose it is, and of which form
 //   PATH/agents/HOST              ephemeral: the agent of that host
@@ -9,8 +10,8 @@
 //   PATH/duties/DUTY/resign       an operator's wish that the owner of a term leave it
 //   PATH/census                   the newest census
 //
-// This room may not know agents, consoles or the command line. What cannot be read is told with why, and is nobody's
-// to write over.
+// This room may not know agents, consoles or the command line. What cannot be read is told with why, and is
+// nobody's to write over.
 #ifndef UMBERDYKE_FLEET_RECORDS_H_
 #define UMBERDYKE_FLEET_RECORDS_H_
 
@@ -69,8 +70,8 @@
 struct Tenure {
   owner::Term term = 0;
   std::string host, instance;
-  owner::Step from = 0;            // the latest step that it found
-  std::int64_t without_ms = -1;    // since the agent before it was seen to go; -1: it saw none go
+  owner::Step from = 0;          // the latest step that it found
+  std::int64_t without_ms = -1;  // since the agent before it was seen to go; -1: it saw none go
 };
 // Within kLongestHistory: the oldest are dropped.
 std::string Print(std::vector<Tenure> history);
@@ -79,7 +80,8 @@
 std::string PrintResign(owner::Term term);
 ReadAs<owner::Term> ReadResign(std::string_view text);
 
-// The census: how many sidecars of each zone and tier are in which state, and each by name while there are few.
+// The census: how many sidecars of each zone and tier are in which state, and each by name while there are
+// few.
 struct CensusEntry {
   std::string name, zone, tier, host;
   std::string state;    // serving, drained, starting, ending, or unknown: could not be asked; never "gone"
@@ -100,7 +102,8 @@
   std::int64_t concurrent = 0;
 };
 std::map<std::pair<std::string, std::string>, CensusSum> Sums(const Census& census);
-// At most `most` bytes: where the names do not fit they are left out, and where the sums do not, the versions too.
+// At most `most` bytes: where the names do not fit they are left out, and where the sums do not, the versions
+// too.
 std::string Print(const Census& census, size_t most = 64 * 1024);
 ReadAs<Census> ReadCensus(std::string_view text);
 
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -26,13 +26,15 @@
     if (!service.auth_file.empty()) {
       files::ReadResult read = files::ReadWhole(service.auth_file, 4096);
       if (!read.error.empty()) throw Unreadable{read.error};
-      while (!read.text.empty() && (read.text.back() == '\n' || read.text.back() == '\r')) read.text.pop_back();
+      while (!read.text.empty() && (read.text.back() == '\n' || read.text.back() == '\r'))
+        read.text.pop_back();
       settings.auth = std::move(read.text);
     }
     client_ = std::make_unique<nodes::NodeClient>(
         loop_, settings,
-        nodes::NodeClient::Owner{[this](nodes::Session session) { refused_ |= session == nodes::Session::kAuthFailed; },
-                                 [](nodes::Notice, const std::string&) {}});
+        nodes::NodeClient::Owner{
+            [this](nodes::Session session) { refused_ |= session == nodes::Session::kAuthFailed; },
+            [](nodes::Notice, const std::string&) {}});
     client_->Start();
     Wait([&] { return client_->connected() || refused_; });
     if (refused_) throw Unreadable{"the coordination service refuses user and password"};
@@ -156,7 +158,8 @@
   NodeStat stat;
   Take(ReadJournal(caller.Get(paths.Journal(duty), nullptr, &stat)), &view.journal, paths.Journal(duty),
        &view.troubles);
-  if (stat.modified_ms > 0) view.journal_age_ms = std::max<std::int64_t>(0, nodes::WallMillis() - stat.modified_ms);
+  if (stat.modified_ms > 0)
+    view.journal_age_ms = std::max<std::int64_t>(0, nodes::WallMillis() - stat.modified_ms);
   Take(ReadHistory(caller.Get(paths.History(duty))), &view.history, paths.History(duty), &view.troubles);
   return view;
 }
@@ -179,7 +182,8 @@
       view.agents.push_back(std::move(agent));
     }
     view.hosts = caller.Children(paths.Hosts());
-    for (const std::string& duty : caller.Children(paths.Duties())) view.duties.push_back(LookAt(caller, paths, duty));
+    for (const std::string& duty : caller.Children(paths.Duties()))
+      view.duties.push_back(LookAt(caller, paths, duty));
     NodeStat stat;
     bool there = false;
     view.census_text = caller.Get(paths.Census(), &there, &stat);
@@ -220,7 +224,8 @@
       const DutyView now = LookAt(caller, paths, duty);
       if (now.standers.empty()) return Resigned{term, 0, ""};
       const Stander& owner = now.standers.front();
-      const bool took_over = owner.term != term && !now.history.empty() && now.history.back().term == owner.term;
+      const bool took_over =
+          owner.term != term && !now.history.empty() && now.history.back().term == owner.term;
       if (took_over) return Resigned{term, owner.term, owner.agent.host};
       caller.Rest(50ms);
     }
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -43,7 +43,8 @@
 // The view, or one plain line of why there is none. Blocks for at most the service's patience.
 std::variant<View, Unreadable> Look(const Service& service);
 
-// Asks the owner of a duty to leave it and waits until another term owns it, or nobody. An empty text, or why not.
+// Asks the owner of a duty to leave it and waits until another term owns it, or nobody. An empty text, or why
+// not.
 struct Resigned {
   owner::Term before = 0, after = 0;  // after: 0 where nobody stands
   std::string host;
--- a/src/lab/common/process.cpp
+++ b/src/lab/common/process.cpp
@@ -23,6 +23,7 @@
        {"ROUTER_CONFIG", "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONSOLE"})
     unsetenv(name);
   if (std::freopen(log.c_str(), "w", stderr) == nullptr) _exit(126);
+  dup2(STDERR_FILENO, STDOUT_FILENO);
   execvp(argv[0], argv.data());
   _exit(127);
 }
--- a/src/lab/common/process.h
+++ b/src/lab/common/process.h
@@ -16,14 +16,15 @@
 // A process of the caller's own, ended by its id, at the latest by the destructor (SIGKILL).
 class Process {
  public:
-  // `log` takes its standard error. A program that cannot be started ends with 126 or 127. The variables by
-  // which the platform sets a sidecar up are not handed on.
+  // `log` takes its standard error and output. A program that cannot be started ends with 126 or 127. The
+  // variables by which the platform sets a sidecar up are not handed on.
   Process(const std::vector<std::string>& arguments, const std::string& log);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
   void Tell(int signal) const;
+  pid_t pid() const { return pid_; }  // -1 once it has ended
   // The most memory that it has held so far in millions of bytes, and its open descriptors; 0 once it has
   // ended.
   double PeakMb() const;
--- a/src/lab/coordinator/control.cpp
+++ b/src/lab/coordinator/control.cpp
@@ -14,7 +14,8 @@
 
 constexpr size_t kLongestLine = 4096;
 constexpr const char* kHelp =
-    "ok lag M MS | cut M on|off | silent M on|off | refuse M on|off | read-only M on|off | majority on|off | leader "
+    "ok lag M MS | cut M on|off | silent M on|off | refuse M on|off | read-only M on|off | majority on|off | "
+    "leader "
     "| zxid N | lose SESSION (0: any) | kill SESSION | expire PATH | jump SESSION | owner PATH | get PATH "
     "| children PATH | create PATH [DATA] | set PATH DATA | delete PATH | sessions | stats | help";
 
@@ -182,7 +183,8 @@
   auto file = std::make_shared<std::ofstream>(path);
   if (!*file) throw std::runtime_error("coordinator: " + path + " cannot be written");
   const auto write = [file](nlohmann::json line) {
-    line["us"] = std::chrono::duration_cast<std::chrono::microseconds>(net::Clock::now().time_since_epoch()).count();
+    line["us"] =
+        std::chrono::duration_cast<std::chrono::microseconds>(net::Clock::now().time_since_epoch()).count();
     *file << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n" << std::flush;
   };
   ensemble->on_commit = [write](const Ensemble::Commit& commit) {
--- a/src/lab/coordinator/control.h
+++ b/src/lab/coordinator/control.h
@@ -1,5 +1,6 @@
-// The stand-in coordination service told what to do wrong from outside its process: a line a command, each answered
-// by one line that begins with "ok" or "no". For runs and for trying things by hand; on loopback, bounded.
+// The stand-in coordination service told what to do wrong from outside its process: a line a command, each
+// answered by one line that begins with "ok" or "no". For runs and for trying things by hand; on loopback,
+// bounded.
 #ifndef UMBERDYKE_LAB_COORDINATOR_CONTROL_H_
 #define UMBERDYKE_LAB_COORDINATOR_CONTROL_H_
 
@@ -32,8 +33,8 @@
   net::Listener listener_;
 };
 
-// Writes every commit and refusal as a JSON line with its steady time in microseconds: what was done at this place of
-// effect, for judges. Throws std::runtime_error where the file cannot be written.
+// Writes every commit and refusal as a JSON line with its steady time in microseconds: what was done at this
+// place of effect, for judges. Throws std::runtime_error where the file cannot be written.
 void RecordCommits(Ensemble* ensemble, const std::string& path);
 
 }  // namespace umberdyke::lab
--- a/src/lab/coordinator/ensemble.h
+++ b/src/lab/coordinator/ensemble.h
@@ -39,8 +39,8 @@
   net::Span jitter{};      // and up to so much more, so that connections overtake one another
   bool half_close = false;  // ends its sending after the next answer
   net::Span lag{};          // it knows of what was committed so much later, and so do its clients' watches
-  bool cut_off = false;     // from the leader: reads and pings are answered from what it knew, writes and syncs
-                            // never, and the leader hears of its sessions no more
+  bool cut_off = false;  // from the leader: reads and pings are answered from what it knew, writes and syncs
+                         // never, and the leader hears of its sessions no more
 };
 
 class Ensemble {
@@ -58,7 +58,8 @@
   void CloseConnections(size_t member);
   void SetLag(size_t member, net::Span lag);
   void SetCutOff(size_t member, bool on);
-  // Without a majority there is no leader: nobody is served, and no session runs out until there is one again.
+  // Without a majority there is no leader: nobody is served, and no session runs out until there is one
+  // again.
   void SetMajority(bool on);
   // All connections break, and transactions go on in a new epoch.
   void ChangeLeader();
@@ -89,8 +90,8 @@
   std::function<void(const std::string& path, const std::string& data, std::int64_t session, net::Time when)>
       on_read;
 
-  // Each write that was done, once for every node; and each that failed because a node that it checks had gone or
-  // changed, with the path that was checked. For judges.
+  // Each write that was done, once for every node; and each that failed because a node that it checks had
+  // gone or changed, with the path that was checked. For judges.
   struct Commit {
     std::int64_t zxid = 0;
     ChangeKind kind{};
--- a/src/lab/explore/explore.cpp
+++ b/src/lab/explore/explore.cpp
@@ -75,7 +75,8 @@
   int now = 0;
   std::vector<Candidate> candidates;
   std::vector<Node> nodes;
-  std::vector<int> heard;  // by session, when the service last heard of it; -1: it has run out, or has not begun
+  std::vector<int>
+      heard;  // by session, when the service last heard of it; -1: it has run out, or has not begun
   Term zxid = 0;
   std::int64_t number = 0;
   Journal journal;
@@ -126,17 +127,19 @@
 
   // --- States seen ---
 
-  static void Put(std::string* out, std::int64_t number) { out->append(std::to_string(number)).push_back(' '); }
+  static void Put(std::string* out, std::int64_t number) {
+    out->append(std::to_string(number)).push_back(' ');
+  }
 
   static std::string Print(const World& w) {
     std::string out;
     Put(&out, w.now);
     for (const Candidate& c : w.candidates) {
       c.claim.Print(&out);
-      for (const std::int64_t n : {std::int64_t{c.open}, c.session, std::int64_t{c.lives}, c.wake ? c.wake->count() : -1,
-                                   static_cast<std::int64_t>(c.work), c.term, c.journal.step,
-                                   std::int64_t{c.journal.committed}, c.journal.term, std::int64_t{c.version},
-                                   std::int64_t{c.life}}) {
+      for (const std::int64_t n :
+           {std::int64_t{c.open}, c.session, std::int64_t{c.lives}, c.wake ? c.wake->count() : -1,
+            static_cast<std::int64_t>(c.work), c.term, c.journal.step, std::int64_t{c.journal.committed},
+            c.journal.term, std::int64_t{c.version}, std::int64_t{c.life}}) {
         Put(&out, n);
       }
       for (const auto* queue : {&c.requests, &c.answers}) {
@@ -145,8 +148,8 @@
           for (const std::int64_t n :
                {static_cast<std::int64_t>(m.kind), static_cast<std::int64_t>(m.action.kind),
                 std::int64_t{m.kind == Message::Kind::kClaim && c.claim.Awaits(m.action.ticket)},
-                static_cast<std::int64_t>(m.told), m.journal.step, std::int64_t{m.journal.committed}, m.journal.term,
-                std::int64_t{m.version}, m.created, m.session}) {
+                static_cast<std::int64_t>(m.told), m.journal.step, std::int64_t{m.journal.committed},
+                m.journal.term, std::int64_t{m.version}, m.created, m.session}) {
             Put(&out, n);
           }
           out += m.action.name;
@@ -154,7 +157,8 @@
         }
       }
       for (const auto& [order, verdict] : c.verdicts) {
-        for (const std::int64_t n : {order.life + 0L, order.term, order.step, static_cast<std::int64_t>(verdict)}) {
+        for (const std::int64_t n :
+             {order.life + 0L, order.term, order.step, static_cast<std::int64_t>(verdict)}) {
           Put(&out, n);
         }
       }
@@ -163,9 +167,10 @@
     for (const Node& n : w.nodes) out.append(n.name).append(std::to_string(n.created)).push_back(',');
     for (const int heard : w.heard) Put(&out, heard < 0 ? -1 : std::min(w.now - heard, kSessionTicks));
     for (const std::int64_t n :
-         {w.zxid, w.number, w.journal.step, std::int64_t{w.journal.committed}, w.journal.term, std::int64_t{w.version},
-          w.fence.term(), w.fence.step(), std::int64_t{w.life}, std::int64_t{w.breaks}, std::int64_t{w.repeats},
-          std::int64_t{w.restarts}, std::int64_t{w.resignations}, std::int64_t{w.removals}, w.newest, w.last, w.ever}) {
+         {w.zxid, w.number, w.journal.step, std::int64_t{w.journal.committed}, w.journal.term,
+          std::int64_t{w.version}, w.fence.term(), w.fence.step(), std::int64_t{w.life},
+          std::int64_t{w.breaks}, std::int64_t{w.repeats}, std::int64_t{w.restarts},
+          std::int64_t{w.resignations}, std::int64_t{w.removals}, w.newest, w.last, w.ever}) {
       Put(&out, n);
     }
     for (const Order& o : w.orders) {
@@ -226,7 +231,8 @@
     for (size_t i = 0; i < world.candidates.size(); ++i) {
       const Candidate& c = world.candidates[i];
       const std::string who = std::string(1, static_cast<char>('a' + i));
-      if (!c.open && c.lives <= bounds_.sessions) Try(world, who + " connects", [&, i](World& w) { Open(w, i); });
+      if (!c.open && c.lives <= bounds_.sessions)
+        Try(world, who + " connects", [&, i](World& w) { Open(w, i); });
       if (c.open && c.session != 0 && !c.requests.empty()) {
         // Where the answer's delay decides nothing, it comes at once, or is lost with the connection.
         const bool at_once = c.answers.empty() && c.requests.front().kind == Message::Kind::kClaim &&
@@ -266,7 +272,8 @@
           Do(w, i, out);
         });
       }
-      if (c.claim.MayAct(Now(world)) && world.removals < bounds_.removals && Find(world, c.claim.name()) != nullptr) {
+      if (c.claim.MayAct(Now(world)) && world.removals < bounds_.removals &&
+          Find(world, c.claim.name()) != nullptr) {
         Try(world, "somebody removes the claim of " + who, [&, i](World& w) {
           ++w.removals;
           const std::string name = w.candidates[i].claim.name();
@@ -411,7 +418,8 @@
   }
 
   const Node* Find(const World& w, const std::string& name) const {
-    const auto it = std::find_if(w.nodes.begin(), w.nodes.end(), [&](const Node& n) { return n.name == name; });
+    const auto it =
+        std::find_if(w.nodes.begin(), w.nodes.end(), [&](const Node& n) { return n.name == name; });
     return it == w.nodes.end() ? nullptr : &*it;
   }
 
@@ -609,7 +617,8 @@
     if (!guards_.fence && verdict == Fence::Verdict::kOldTerm) verdict = Fence::Verdict::kTake;
     if (!guards_.numbers && verdict == Fence::Verdict::kRepeat) verdict = Fence::Verdict::kTake;
     w.fence = fence;
-    if (verdict == Fence::Verdict::kOldTerm || (verdict == Fence::Verdict::kOtherLife && order.term < w.newest)) {
+    if (verdict == Fence::Verdict::kOldTerm ||
+        (verdict == Fence::Verdict::kOtherLife && order.term < w.newest)) {
       ++result_.refused;
     }
     if (verdict == Fence::Verdict::kRepeat) ++result_.repeated;
--- /dev/null
+++ b/src/lab/fleet/bed.cpp
@@ -0,0 +1,322 @@
+#include "lab/fleet/bed.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
+
+#include "lab/fleet/clients.h"
+#include "lab/fleet/world.h"
+
+namespace umberdyke::lab {
+
+using namespace std::chrono_literals;
+using net::Clock;
+using net::Span;
+using net::Time;
+
+namespace {
+
+constexpr Span kFollow = 10ms;
+constexpr Span kBehind = 400ms;  // a turn of the loop so late voids the run
+constexpr Span kLongestSettling = 20s;
+
+class Runner {
+ public:
+  Runner(const BedPlan& plan, const Programs& programs)
+      : plan_(plan),
+        programs_(programs),
+        world_(loop_, plan, programs),
+        clients_(loop_, world_, plan.rate, plan.seed),
+        follow_(loop_, [this] { Follow(); }) {}
+
+  BedReport Go() {
+    const Time began = Clock::now();
+    if (!world_.Start(&report_.error)) return std::move(report_);
+    if (!programs_.unfenced) clients_.Start();
+    due_ = Clock::now();
+    Follow();
+    start_ = Clock::now();
+    for (const BedFault& fault : plan_.faults) {
+      Later(std::chrono::milliseconds(fault.at_ms), [this, fault] { Strike(fault); });
+    }
+    loop_.RunUntil([] { return false; }, std::chrono::milliseconds(plan_.length_ms));
+    loop_.RunUntil([this] { return open_ == 0; }, 10s);  // what is still to be taken back
+    Settle();
+    clients_.Stop();
+    Evidence evidence;
+    world_.Gather(&evidence);
+    clients_.Tell(&evidence.asked);
+    if (!settled_) evidence.troubles.push_back("after the faults no duty went on for 20 s");
+    for (const std::string& trouble : troubles_) evidence.troubles.push_back(trouble);
+    report_.asked = evidence.asked;
+    report_.verdict = Judge(evidence);
+    report_.folder = world_.folder();
+    report_.was_void = report_.latest_ms > static_cast<double>(kBehind.count()) / 1e6;
+    report_.took_s = std::chrono::duration<double>(Clock::now() - began).count();
+    return std::move(report_);
+  }
+
+ private:
+  void Follow() {
+    const Time now = Clock::now();
+    report_.latest_ms =
+        std::max(report_.latest_ms, std::chrono::duration<double, std::milli>(now - due_).count());
+    world_.Follow();
+    due_ = Clock::now() + kFollow;
+    follow_.Start(kFollow);
+  }
+
+  // All agents up and every link whole: each duty goes on, or something is stuck.
+  void Settle() {
+    for (int i = 0; i < world_.agents(); ++i) {
+      if (world_.agent(i)->Ended()) {
+        troubles_.push_back("agent " + std::to_string(i) + " ended by itself");
+        world_.StartAgent(i);
+      }
+    }
+    const auto up = [&] {
+      for (int i = 0; i < world_.sidecars(); ++i) {
+        if (clients_.down(i)) return false;
+      }
+      return true;
+    };
+    if (!programs_.unfenced && !loop_.RunUntil(up, kLongestSettling))
+      troubles_.push_back("a sidecar did not come back");
+    const std::uint64_t census = world_.CommitsOf("census");
+    settled_ = loop_.RunUntil([&] { return world_.CommitsOf("census") >= census + 2; }, kLongestSettling);
+    loop_.RunUntil([] { return false; }, 200ms);  // whoever was started last can be told to end
+  }
+
+  void Later(Span after, std::function<void()> task) {
+    ++open_;
+    const size_t at = tasks_.size();
+    tasks_.push_back(std::make_unique<net::Timer>(loop_, [this, task = std::move(task)] {
+      task();
+      --open_;
+    }));
+    tasks_[at]->Start(after);
+  }
+
+  int AgentOf(const BedFault& fault) const {
+    int who = fault.who;
+    if (who == kOwnerOfCensus) who = world_.OwnerOf("census");
+    if (who == kOwnerOfTidying) who = world_.OwnerOf("tidying");
+    return std::max(0, who) % world_.agents();
+  }
+
+  static std::vector<Way> Ways(const BedFault& fault) {
+    if (fault.way == 1) return {Way::kThere};
+    if (fault.way == 2) return {Way::kBack};
+    return {Way::kThere, Way::kBack};
+  }
+
+  static void Set(const std::vector<Relay*>& relays, const std::vector<Way>& ways,
+                  const Relay::Faults& faults) {
+    for (Relay* relay : relays) {
+      for (const Way way : ways) relay->Set(way, faults);
+    }
+  }
+
+  void Refuse(std::vector<Relay*> relays, Span time) {
+    for (Relay* relay : relays) relay->Refuse(true);
+    Later(time, [relays] {
+      for (Relay* relay : relays) relay->Refuse(false);
+    });
+  }
+
+  void Hold(std::vector<Relay*> relays, const BedFault& fault, const Relay::Faults& faults) {
+    Set(relays, Ways(fault), faults);
+    Later(std::chrono::milliseconds(fault.for_ms), [relays, fault] { Set(relays, Ways(fault), {}); });
+  }
+
+  void RestartAgent(int i, Span after) {
+    Later(after, [this, i] {
+      if (world_.agent(i)->Ended()) return world_.StartAgent(i);
+      RestartAgent(i, 50ms);
+    });
+  }
+
+  void RestartSidecar(int i, Span after) {
+    Later(after, [this, i] {
+      if (!world_.sidecar(i)->Ended()) return RestartSidecar(i, 20ms);
+      if (*world_.sidecar(i)->Ended() != 0 && !killed_[i]) troubles_.push_back("a sidecar ended in trouble");
+      killed_[i] = false;
+      world_.StartSidecar(i);
+      AwaitSidecar(i);
+    });
+  }
+  void AwaitSidecar(int i) {
+    clients_.Back(i);  // its clients knock from now on
+  }
+
+  void Strike(const BedFault& fault) {
+    ++report_.faults[fault.kind];
+    const Span time = std::chrono::milliseconds(fault.for_ms);
+    const int who = AgentOf(fault);
+    const std::string duty = fault.who == kOwnerOfTidying ? "tidying" : "census";
+    if (programs_.progress) {
+      std::fprintf(stderr, "%lld ms: %s, agent %d, for %d ms\n",
+                   static_cast<long long>(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - start_).count()),
+                   fault.kind.c_str(), who, fault.for_ms);
+    }
+    const std::string& kind = fault.kind;
+    if (kind == "kill-agent" || kind == "end-agent") {
+      world_.KillAgent(who, SIGCONT);
+      world_.KillAgent(who, kind == "kill-agent" ? SIGKILL : SIGTERM);
+      RestartAgent(who, time);
+    } else if (kind == "stop-agent") {
+      world_.KillAgent(who, SIGSTOP);
+      Later(time, [this, who] { world_.KillAgent(who, SIGCONT); });
+    } else if (kind == "late-agent") {
+      // Its orders are on their way when it is stopped; it wakes late, and they arrive later still.
+      Set(world_.ToConsoles(who), {Way::kThere}, {.held = true, .only = "PUT "});
+      Later(150ms, [this, who] { world_.KillAgent(who, SIGSTOP); });
+      Later(150ms + time / 2, [this, who] { world_.KillAgent(who, SIGCONT); });
+      Later(150ms + time, [this, who] { Set(world_.ToConsoles(who), {Way::kThere}, {}); });
+    } else if (kind == "hold-consoles") {
+      Hold(world_.ToConsoles(who), fault, {.held = true, .only = fault.way == 0 ? "" : "PUT "});
+    } else if (kind == "slow-consoles") {
+      Hold(world_.ToConsoles(who), fault, {.delay = 80ms, .bytes_per_s = 20'000});
+    } else if (kind == "cut-consoles") {
+      Refuse(world_.ToConsoles(who), time);
+    } else if (kind == "hold-service") {
+      Hold(world_.ToService(who), fault, {.held = true});
+    } else if (kind == "slow-service") {
+      Hold(world_.ToService(who), fault, {.delay = 60ms});
+    } else if (kind == "cut-service") {
+      Refuse(world_.ToService(who), time);
+    } else if (kind == "kill-sidecar" || kind == "end-sidecar") {
+      const int i = std::max(0, fault.who) % world_.sidecars();
+      if (clients_.down(i)) return;
+      killed_[i] = kind == "kill-sidecar";
+      clients_.Down(i);
+      world_.KillSidecar(i, killed_[i] ? SIGKILL : SIGTERM);
+      RestartSidecar(i, time);
+    } else if (kind == "cut-sidecar") {
+      Refuse(world_.SidecarToService(std::max(0, fault.who) % world_.sidecars()), time);
+    } else {
+      Service(fault, kind, who, duty, time);
+    }
+  }
+
+  void Service(const BedFault& fault, const std::string& kind, int who, const std::string& duty, Span time) {
+    const std::string member = std::to_string(std::max(0, fault.who) % plan_.members);
+    const auto say = [this](const std::string& now, const std::string& then, Span after) {
+      world_.control().Say(now);
+      if (!then.empty()) Later(after, [this, then] { world_.control().Say(then); });
+    };
+    if (kind == "lag-member") {
+      say("lag " + member + " 150", "lag " + member + " 0", time);
+    } else if (kind == "cut-member") {
+      say("cut " + member + " on", "cut " + member + " off", time);
+    } else if (kind == "silent-member") {
+      say("silent " + member + " on", "silent " + member + " off", time);
+    } else if (kind == "no-majority") {
+      say("majority off", "majority on", time);
+    } else if (kind == "new-leader") {
+      say("leader", "", {});
+    } else if (kind == "lose-answer") {
+      say("lose 0", "", {});
+    } else if (kind == "storm") {
+      for (int i = 0; i < world_.agents(); ++i) {
+        world_.KillAgent(i, SIGCONT);
+        world_.KillAgent(i, SIGKILL);
+        RestartAgent(i, time);
+      }
+    } else if (const std::string claim = world_.ClaimOf(duty); !claim.empty()) {
+      if (kind == "expire-owner") say("expire " + claim, "", {});
+      if (kind == "remove-claim") say("delete " + claim, "", {});
+      const std::string wish = world_.base() + "/duties/" + duty + "/resign";
+      const std::string data = "{\"term\":" + std::to_string(world_.TermOf(duty)) + "}";
+      if (kind == "wish") {
+        say("create " + wish + " " + data, "", {});
+        say("set " + wish + " " + data, "", {});
+      }
+    }
+    (void)who;
+  }
+
+  const BedPlan plan_;
+  const Programs programs_;
+  BedReport report_;
+  net::Loop loop_;
+  World world_;
+  Clients clients_;
+  std::vector<std::unique_ptr<net::Timer>> tasks_;
+  std::map<int, bool> killed_;
+  std::vector<std::string> troubles_;
+  int open_ = 0;
+  bool settled_ = false;
+  Time start_{}, due_{};
+  net::Timer follow_;
+};
+
+}  // namespace
+
+BedReport RunBed(const BedPlan& plan, const Programs& programs) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return Runner(plan, programs).Go();
+  } catch (const std::exception& error) {
+    BedReport report;
+    report.error = error.what();
+    return report;
+  }
+}
+
+std::string Print(const BedPlan& plan, const BedReport& report) {
+  std::ostringstream out;
+  const Asked& a = report.asked;
+  out << "seed " << plan.seed << ": " << plan.sidecars << " sidecars, " << plan.agents << " agents, "
+      << plan.members << " members of the service, " << plan.servers << " servers, " << plan.faults.size()
+      << " faults, " << report.took_s << " s\n"
+      << "asked " << a.asked << ": served " << a.served << ", turned down " << a.turned_down << ", failed "
+      << a.failed << ", cut off with their sidecar " << a.cut << "; lost " << a.lost << ", doubled "
+      << a.doubled << "\n"
+      << "orders taken " << report.verdict.orders << ", steps committed " << report.verdict.steps
+      << ", terms " << report.verdict.terms << "\n";
+  for (const auto& [name, count] : report.faults) out << "  " << count << " x " << name << "\n";
+  for (const auto& [name, count] : report.verdict.dangers)
+    out << "  danger: " << name << " " << count << "\n";
+  for (const auto& [rule, what] : report.verdict.broken) out << "BROKEN " << rule << ": " << what << "\n";
+  for (const std::string& line : report.verdict.timeline) out << "  " << line << "\n";
+  if (!report.error.empty()) out << "error: " << report.error << "\n";
+  if (report.was_void) out << "VOID: the bed fell " << report.latest_ms << " ms behind\n";
+  out << (report.clean() ? "clean\n" : "NOT CLEAN\n");
+  return out.str();
+}
+
+std::string PrintJson(const BedPlan& plan, const BedReport& report) {
+  nlohmann::json broken = nlohmann::json::array();
+  for (const auto& [rule, what] : report.verdict.broken) broken.push_back({{"rule", rule}, {"what", what}});
+  const Asked& a = report.asked;
+  return nlohmann::json{{"seed", plan.seed},
+                        {"clean", report.clean()},
+                        {"void", report.was_void},
+                        {"error", report.error},
+                        {"broken", broken},
+                        {"timeline", report.verdict.timeline},
+                        {"dangers", report.verdict.dangers},
+                        {"faults", report.faults},
+                        {"orders", report.verdict.orders},
+                        {"steps", report.verdict.steps},
+                        {"terms", report.verdict.terms},
+                        {"asked", a.asked},
+                        {"served", a.served},
+                        {"turned_down", a.turned_down},
+                        {"failed", a.failed},
+                        {"cut", a.cut},
+                        {"lost", a.lost},
+                        {"doubled", a.doubled},
+                        {"latest_ms", report.latest_ms},
+                        {"took_s", report.took_s}}
+      .dump();
+}
+
+}  // namespace umberdyke::lab
--- /dev/null
+++ b/src/lab/fleet/clients.h
@@ -0,0 +1,59 @@
+// The bed's clients: requests on a schedule that no answer moves, spread over the sidecars, each answered
+// once or counted.
+#ifndef UMBERDYKE_LAB_FLEET_CLIENTS_H_
+#define UMBERDYKE_LAB_FLEET_CLIENTS_H_
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "lab/fleet/evidence.h"
+#include "lab/fleet/world.h"
+#include "lab/membership/caller.h"
+#include "loop/loop.h"
+
+namespace umberdyke::lab {
+
+class Clients {
+ public:
+  Clients(net::Loop& loop, World& world, double rate, std::uint64_t seed);
+  void Start();
+  void Stop();  // asks no more, and waits for what is out
+  // A sidecar is told or made to end: until it is back its clients go to others, and what it had is excused.
+  void Down(int sidecar);
+  void Back(int sidecar);
+  bool down(int sidecar) const { return doors_[static_cast<size_t>(sidecar)].down; }
+  void Tell(Asked* asked) const;
+  // Those served since the last call, in milliseconds; and how many were asked and not served.
+  std::vector<double> TakeServed(std::uint64_t* others);
+
+ private:
+  struct Door {
+    bool down = false;
+    net::Time went{}, came{};
+    std::vector<std::unique_ptr<Caller>> callers;
+  };
+  void Ask();
+  void Knock(int sidecar);
+  void Answered(int sidecar, net::Time asked, int status);
+
+  net::Loop& loop_;
+  World& world_;
+  const double rate_;
+  std::mt19937_64 random_;
+  std::vector<Door> doors_;
+  Asked asked_;
+  std::vector<double> served_since_;
+  std::uint64_t others_since_ = 0;
+  std::uint64_t open_ = 0;
+  bool asking_ = false;
+  net::Time next_{};
+  net::Timer ask_;
+  std::vector<std::unique_ptr<net::Timer>> knocks_;
+};
+
+}  // namespace umberdyke::lab
+
+#endif  // UMBERDYKE_LAB_FLEET_CLIENTS_H_
--- /dev/null
+++ b/src/lab/fleet/evidence.h
@@ -0,0 +1,66 @@
+// What was done at the places of effect in a run of the bed, and the judge of it. Pure: lines of files come
+// in, verdicts go out; nothing is believed of what an owner says of itself.
+#ifndef UMBERDYKE_LAB_FLEET_EVIDENCE_H_
+#define UMBERDYKE_LAB_FLEET_EVIDENCE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace umberdyke::lab {
+
+// An order that a sidecar took, in the order of its log.
+struct TakenOrder {
+  std::string life, duty;
+  std::int64_t term = 0, step = 0;
+  std::int64_t us = 0;
+};
+// What one sidecar's lives logged, the oldest first.
+struct PlaceLog {
+  std::string name;
+  std::vector<TakenOrder> taken;
+  // Counted by lives that ended in peace or were asked at the end: refused or repeated orders and broken
+  // invariants.
+  std::map<std::string, std::uint64_t> counts;
+};
+// Adds what a log of one life says.
+void ReadPlaceLog(std::string_view log, PlaceLog* place);
+
+// A commit of the coordination service, or a write that it refused because what it checked had gone.
+struct ServiceLine {
+  std::string what, path, data;
+  std::int64_t zxid = 0, session = 0, us = 0;
+};
+std::vector<ServiceLine> ReadServiceLines(std::string_view text);
+
+struct Asked {
+  std::uint64_t asked = 0, served = 0, turned_down = 0, failed = 0;
+  std::uint64_t cut = 0;   // without an answer, its sidecar having been killed or restarted meanwhile
+  std::uint64_t lost = 0;  // without an answer, and no such excuse
+  std::uint64_t doubled = 0, at_once = 0, late_to_drained = 0;
+  std::vector<double> served_ms;
+};
+
+struct Evidence {
+  std::string base;  // the agents' path
+  std::vector<PlaceLog> places;
+  std::vector<ServiceLine> service;
+  Asked asked;
+  std::vector<std::string> troubles;  // processes that ended as they should not have, no owner in the end
+};
+
+struct Verdict {
+  // Each is a rule's name and one line; none: the run is clean.
+  std::vector<std::pair<std::string, std::string>> broken;
+  std::vector<std::string> timeline;             // the lines round the first that broke
+  std::map<std::string, std::uint64_t> dangers;  // how often what the guards are for really arose
+  std::uint64_t orders = 0, steps = 0, terms = 0;
+  bool clean() const { return broken.empty(); }
+};
+Verdict Judge(const Evidence& evidence);
+
+}  // namespace umberdyke::lab
+
+#endif  // UMBERDYKE_LAB_FLEET_EVIDENCE_H_
--- /dev/null
+++ b/src/lab/fleet/plan.cpp
@@ -0,0 +1,158 @@
+#include "lab/fleet/plan.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace umberdyke::lab {
+
+using Json = nlohmann::ordered_json;
+using Of = FaultKind::Of;
+
+const std::vector<FaultKind>& FaultKinds() {
+  static const std::vector<FaultKind> kinds = {
+      {"kill-agent", 2, 100, 900, Of::kAgent, "SIGKILL, and started again after the time"},
+      {"end-agent", 1, 100, 900, Of::kAgent, "SIGTERM, and started again after the time"},
+      {"stop-agent", 2, 300, 1800, Of::kAgent, "SIGSTOP, and woken after the time"},
+      {"late-agent", 4, 900, 2200, Of::kAgent,
+       "its calls to the consoles are held, then it is stopped; woken after half the time, let go after all "
+       "of it"},
+      {"hold-consoles", 2, 300, 1800, Of::kAgent, "its links to the consoles are held"},
+      {"cut-consoles", 1.5, 200, 1200, Of::kAgent, "its links to the consoles are refused"},
+      {"slow-consoles", 1, 300, 1200, Of::kAgent, "its links to the consoles are late, and narrow"},
+      {"hold-service", 2.5, 200, 1800, Of::kAgent, "its links to the service are held"},
+      {"cut-service", 2, 200, 1500, Of::kAgent, "its links to the service are refused"},
+      {"slow-service", 1, 300, 1200, Of::kAgent, "its links to the service are late"},
+      {"kill-sidecar", 1.5, 50, 400, Of::kSidecar, "SIGKILL, and started again after the time"},
+      {"end-sidecar", 1, 50, 400, Of::kSidecar, "SIGTERM, and started again once it has ended"},
+      {"cut-sidecar", 1, 200, 1200, Of::kSidecar, "its links to the service are refused"},
+      {"lag-member", 1, 300, 1500, Of::kMember, "it knows of commits 150 ms later"},
+      {"cut-member", 1.5, 300, 1500, Of::kMember, "it is cut off from the leader, and answers reads"},
+      {"silent-member", 1, 200, 1000, Of::kMember, "it answers nothing"},
+      {"no-majority", 0.7, 200, 900, Of::kService, "nobody is served"},
+      {"new-leader", 1, 0, 0, Of::kService, "all connections break, and a new epoch begins"},
+      {"lose-answer", 2, 0, 0, Of::kService, "the next write is committed and its answer lost"},
+      {"expire-owner", 1.5, 0, 0, Of::kAgent, "the session of its claim is ended"},
+      {"remove-claim", 1.5, 0, 0, Of::kAgent, "its claim is removed by hand, its session lives"},
+      {"wish", 1.5, 0, 0, Of::kAgent, "an operator wishes that the owner resigns"},
+      {"storm", 0.5, 50, 300, Of::kService, "all agents are killed, and started at once after the time"},
+  };
+  return kinds;
+}
+
+BedPlan DrawPlan(std::uint64_t seed, int faults) {
+  BedPlan plan;
+  plan.seed = seed;
+  std::mt19937_64 random(seed * 0x9e3779b97f4a7c15ULL + 1);
+  const auto unit = [&] { return static_cast<double>(random() >> 11) * 0x1p-53; };
+  const auto between = [&](int least, int most) {
+    return least + static_cast<int>(unit() * (most - least + 1));
+  };
+  // Terms beyond 2^32 and near 2^63 come about as well.
+  const double where = unit();
+  if (where < 0.15) plan.zxid = (std::int64_t{1} << 32) - 20;
+  if (where > 0.9) plan.zxid = INT64_MAX - (std::int64_t{64} << 32);
+  double all = 0;
+  for (const FaultKind& kind : FaultKinds()) all += kind.weight;
+  for (int i = 0; i < faults; ++i) {
+    double at = unit() * all;
+    const FaultKind* chosen = &FaultKinds().back();
+    for (const FaultKind& kind : FaultKinds()) {
+      at -= kind.weight;
+      if (at > 0) continue;
+      chosen = &kind;
+      break;
+    }
+    BedFault fault;
+    fault.kind = chosen->name;
+    fault.at_ms = between(300, plan.length_ms - 1000);
+    fault.for_ms = chosen->most_ms == 0 ? 0 : between(chosen->least_ms, chosen->most_ms);
+    fault.way = between(0, 2);
+    const double of_owner = unit();
+    const int most = chosen->of == Of::kAgent     ? plan.agents
+                     : chosen->of == Of::kSidecar ? plan.sidecars
+                     : chosen->of == Of::kMember  ? plan.members
+                                                  : 1;
+    fault.who = between(0, most - 1);
+    if (chosen->of == Of::kAgent && of_owner < 0.7)
+      fault.who = of_owner < 0.5 ? kOwnerOfCensus : kOwnerOfTidying;
+    plan.faults.push_back(std::move(fault));
+  }
+  std::stable_sort(plan.faults.begin(), plan.faults.end(),
+                   [](const BedFault& a, const BedFault& b) { return a.at_ms < b.at_ms; });
+  return plan;
+}
+
+std::string Print(const BedPlan& plan) {
+  Json faults = Json::array();
+  for (const BedFault& f : plan.faults) {
+    faults.push_back(
+        {{"kind", f.kind}, {"at_ms", f.at_ms}, {"for_ms", f.for_ms}, {"who", f.who}, {"way", f.way}});
+  }
+  return Json{{"seed", plan.seed},
+              {"sidecars", plan.sidecars},
+              {"agents", plan.agents},
+              {"members", plan.members},
+              {"servers", plan.servers},
+              {"rate", plan.rate},
+              {"length_ms", plan.length_ms},
+              {"session_ms", plan.session_ms},
+              {"margin_ms", plan.margin_ms},
+              {"rest_ms", plan.rest_ms},
+              {"census_ms", plan.census_ms},
+              {"tidy_ms", plan.tidy_ms},
+              {"tidy_after_ms", plan.tidy_after_ms},
+              {"zxid", plan.zxid},
+              {"faults", faults}}
+             .dump(1) +
+         "\n";
+}
+
+std::variant<BedPlan, std::string> ReadPlan(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::string("the plan is no JSON object");
+  BedPlan plan;
+  try {
+    const auto number = [&](const Json& from, const char* key, int* into, int least, int most) {
+      if (!from.contains(key)) return;
+      const auto value = from.at(key).get<std::int64_t>();
+      if (value < least || value > most) throw std::out_of_range(std::string(key) + " is out of range");
+      *into = static_cast<int>(value);
+    };
+    plan.seed = json.value("seed", plan.seed);
+    plan.zxid = json.value("zxid", plan.zxid);
+    plan.rate = json.value("rate", plan.rate);
+    if (plan.zxid < 0) throw std::out_of_range("zxid is out of range");
+    if (!(plan.rate >= 0 && plan.rate <= 2000)) throw std::out_of_range("rate is out of range");
+    number(json, "sidecars", &plan.sidecars, 1, 400);
+    number(json, "agents", &plan.agents, 1, 400);
+    number(json, "members", &plan.members, 1, 9);
+    number(json, "servers", &plan.servers, 1, 200);
+    number(json, "length_ms", &plan.length_ms, 100, 600'000);
+    number(json, "session_ms", &plan.session_ms, 200, 40'000);
+    number(json, "margin_ms", &plan.margin_ms, 1, 20'000);
+    number(json, "rest_ms", &plan.rest_ms, 0, 600'000);
+    number(json, "census_ms", &plan.census_ms, 10, 600'000);
+    number(json, "tidy_ms", &plan.tidy_ms, 10, 600'000);
+    number(json, "tidy_after_ms", &plan.tidy_after_ms, 0, 600'000);
+    for (const Json& one : json.value("faults", Json::array())) {
+      BedFault fault;
+      fault.kind = one.at("kind").get<std::string>();
+      const auto& kinds = FaultKinds();
+      if (std::none_of(kinds.begin(), kinds.end(),
+                       [&](const FaultKind& k) { return fault.kind == k.name; })) {
+        return "there is no fault of the kind " + Json(fault.kind).dump();
+      }
+      number(one, "at_ms", &fault.at_ms, 0, 600'000);
+      number(one, "for_ms", &fault.for_ms, 0, 600'000);
+      number(one, "who", &fault.who, -2, 400);
+      number(one, "way", &fault.way, 0, 2);
+      plan.faults.push_back(std::move(fault));
+    }
+  } catch (const std::exception& error) {
+    return std::string("the plan cannot be read: ") + error.what();
+  }
+  return plan;
+}
+
+}  // namespace umberdyke::lab
--- /dev/null
+++ b/src/lab/fleet/plan.h
@@ -0,0 +1,54 @@
+// A plan of faults for the bed: drawn from a seed, or read from a file; the same plan strikes the same faults
+// in the same order and at the same times. Pure.
+#ifndef UMBERDYKE_LAB_FLEET_PLAN_H_
+#define UMBERDYKE_LAB_FLEET_PLAN_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace umberdyke::lab {
+
+// Whom a fault strikes besides a number: whoever owns the duty when it strikes.
+constexpr int kOwnerOfCensus = -1, kOwnerOfTidying = -2;
+
+struct BedFault {
+  std::string kind;  // one of FaultKinds()
+  int at_ms = 0;     // after the start of the load
+  int for_ms = 0;    // until it is taken back
+  int who = 0;       // an agent, a sidecar or a member of the service, by the kind
+  int way = 0;       // of a link: 0 both, 1 there, 2 back
+  friend bool operator==(const BedFault&, const BedFault&) = default;
+};
+
+struct BedPlan {
+  std::uint64_t seed = 1;
+  int sidecars = 4, agents = 3, members = 3, servers = 4;
+  double rate = 60;      // requests a second over all sidecars
+  int length_ms = 3000;  // within it all faults strike
+  int session_ms = 600, margin_ms = 150, rest_ms = 400;
+  int census_ms = 60, tidy_ms = 150, tidy_after_ms = 300;
+  std::int64_t zxid = 0;  // transactions of the service begin behind it
+  std::vector<BedFault> faults;
+  friend bool operator==(const BedPlan&, const BedPlan&) = default;
+};
+
+struct FaultKind {
+  const char* name;
+  double weight;
+  int least_ms, most_ms;  // for how long
+  enum class Of { kAgent, kSidecar, kMember, kService } of;
+  const char* what;
+};
+const std::vector<FaultKind>& FaultKinds();
+
+BedPlan DrawPlan(std::uint64_t seed, int faults);
+std::string Print(const BedPlan& plan);  // JSON
+// The plan, or one line of what is wrong with the text.
+std::variant<BedPlan, std::string> ReadPlan(std::string_view text);
+
+}  // namespace umberdyke::lab
+
+#endif  // UMBERDYKE_LAB_FLEET_PLAN_H_
--- /dev/null
+++ b/src/lab/fleet/stand_ins.cpp
@@ -0,0 +1,148 @@
+#include "lab/fleet/stand_ins.h"
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "agent/agent.h"
+#include "config/agent_file.h"
+#include "console/console.h"
+#include "files/files.h"
+#include "lab/membership/stand_in.h"
+#include "log/log.h"
+#include "loop/loop.h"
+
+namespace umberdyke::lab {
+
+using namespace std::chrono_literals;
+
+int RunServers(const ServersOptions& options) {
+  net::Loop loop;
+  const net::Signal term(loop, SIGTERM, [&] { loop.Stop(); });
+  nodes::ClientSettings client;
+  client.servers = options.coordinators;
+  client.session = 2000ms;
+  Ledger ledger;
+  std::vector<std::unique_ptr<StandIn>> servers;
+  for (int i = 0; i < options.count; ++i) {
+    StandIn::Settings settings;
+    settings.id = "s" + std::to_string(i);
+    settings.zone = i % 2 == 0 ? "east" : "west";
+    settings.path = options.path;
+    servers.push_back(std::make_unique<StandIn>(loop, client, settings, ledger,
+                                                options.seed * 1000 + static_cast<std::uint64_t>(i)));
+  }
+  loop.Run();
+  const std::string text = nlohmann::json{
+      {"runs", ledger.runs},
+      {"doubled", ledger.doubled},
+      {"at_once", ledger.at_once},
+      {"repeats_dropped",
+       ledger.repeats_dropped}}.dump();
+  return files::WriteWhole(options.ledger, text).empty() ? 0 : 1;
+}
+
+namespace {
+
+// Just enough of a console to be asked by a census.
+class Unfenced : public net::StreamUser {
+ public:
+  Unfenced(net::Loop& loop, std::string name, log::Log& log)
+      : loop_(loop), name_(std::move(name)), log_(log), listener_(loop, [this] { Come(); }) {}
+  std::string Listen(const net::Address& address) { return listener_.Listen(address); }
+
+ private:
+  struct Caller : net::StreamUser {
+    explicit Caller(Unfenced& o) : owner(o), stream(o.loop_, this) {}
+    void OnData(std::string_view bytes) override {
+      size_t used = 0;
+      if (parser.Feed(bytes, &used) == net::Parsed::kComplete) stream.Write(owner.AnswerTo(parser.Take()));
+    }
+    void OnEnd() override { owner.Gone(this); }
+    void OnWritten(bool ok) override {
+      if (!ok) owner.Gone(this);
+    }
+    Unfenced& owner;
+    net::Stream stream;
+    net::HttpParser parser{net::HttpParser::Kind::kRequest};
+  };
+  void OnData(std::string_view) override {}
+  void OnEnd() override {}
+  void Come() {
+    auto caller = std::make_unique<Caller>(*this);
+    if (!caller->stream.Accept(listener_.raw())) return;
+    caller->stream.Read();
+    callers_.push_back(std::move(caller));
+  }
+  void Gone(Caller* caller) {
+    const auto it =
+        std::find_if(callers_.begin(), callers_.end(), [&](const auto& c) { return c.get() == caller; });
+    if (it == callers_.end()) return;
+    (*it)->stream.Close();
+    loop_.Bury(std::move(*it));
+    callers_.erase(it);
+  }
+  std::string AnswerTo(const net::Message& message) {
+    const auto call = net::ReadCall(message);
+    if (const auto* order = std::get_if<net::FleetOrder>(&call)) {
+      const auto us =
+          std::chrono::duration_cast<std::chrono::microseconds>(net::Clock::now().time_since_epoch());
+      log_.Say(log::Event::kOrderTaken, "taken, whatever it is",
+               {{"duty", order->duty},
+                {"term", order->term},
+                {"step", order->step},
+                {"life", name_},
+                {"us", us.count()}});
+      return net::CallAnswer(200, "verdict=taken\n");
+    }
+    const auto* plain = std::get_if<net::ConsoleCall>(&call);
+    if (plain == nullptr) return net::CallAnswer(404, "no\n");
+    if (*plain == net::ConsoleCall::kReady) return net::CallAnswer(200, "ready\n");
+    return net::CallAnswer(
+        200, "name=" + name_ + "\nstate=serving\napplication=linen-track\nlife=" + name_ + "\n");
+  }
+
+  net::Loop& loop_;
+  const std::string name_;
+  log::Log& log_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  net::Listener listener_;
+};
+
+}  // namespace
+
+int RunUnfenced(const std::string& console, const std::string& name) {
+  net::Loop loop;
+  const net::Signal term(loop, SIGTERM, [&] { loop.Stop(); });
+  const auto log = log::ErrorLog(log::Format::kJson, log::Level::kDebug, name);
+  Unfenced place(loop, name, *log);
+  const auto address = net::ParseAddress(console);
+  if (!address || !place.Listen(*address).empty()) return 2;
+  loop.Run();
+  return 0;
+}
+
+int RunWrongAgent(const std::string& config, const std::string& kind) {
+  config::Findings findings;
+  const auto settings =
+      config::ReadAgentFile(config, files::ReadWhole(config, config::kLargestFile).text, &findings);
+  if (!settings) {
+    std::cerr << config << ": cannot be used\n";
+    return 2;
+  }
+  agent::Wrong wrong;
+  wrong.believes = kind == "believes";
+  wrong.unchecked = kind == "unchecked";
+  wrong.skips = kind == "skips";
+  wrong.repeats = kind == "repeats";
+  net::Loop loop;
+  agent::Agent agent(loop, *settings, log::ErrorLog(log::Format::kJson, log::Level::kDebug, settings->host),
+                     wrong);
+  const net::Signal term(loop, SIGTERM, [&] { agent.End([&] { loop.Stop(); }); });
+  agent.Start();
+  loop.Run();
+  return 0;
+}
+
+}  // namespace umberdyke::lab
--- /dev/null
+++ b/src/lab/fleet/stand_ins.h
@@ -0,0 +1,29 @@
+// Processes that the bed starts besides the program's own: the stand-in servers, and wrong stand-ins that the
+// judge has to catch.
+#ifndef UMBERDYKE_LAB_FLEET_STAND_INS_H_
+#define UMBERDYKE_LAB_FLEET_STAND_INS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace umberdyke::lab {
+
+struct ServersOptions {
+  std::vector<std::string> coordinators;
+  std::string path, ledger;
+  int count = 4;
+  std::uint64_t seed = 1;
+};
+// Until SIGTERM; then the ledger of what ran is written. Returns an exit status, as those below.
+int RunServers(const ServersOptions& options);
+
+// A console without a fence: it takes every order that it can read, and tells of it in the same form.
+int RunUnfenced(const std::string& console, const std::string& name);
+
+// The agent with one of its guards taken out: believes, unchecked, skips or repeats.
+int RunWrongAgent(const std::string& config, const std::string& wrong);
+
+}  // namespace umberdyke::lab
+
+#endif  // UMBERDYKE_LAB_FLEET_STAND_INS_H_
--- /dev/null
+++ b/src/lab/fleet/world.cpp
@@ -0,0 +1,405 @@
+#include "lab/fleet/world.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+#include "config/agent_file.h"
+#include "config/application.h"
+#include "config/sidecar_file.h"
+#include "files/files.h"
+#include "fleet/records.h"
+#include "lab/membership/caller.h"
+#include "owner/claim.h"
+#include "platform/console_calls.h"
+
+namespace umberdyke::lab {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::ordered_json;
+
+namespace {
+
+// Ports of this bed's own address, below those that the kernel gives out.
+constexpr int kListen = 20000, kConsole = 21000, kMembers = 22000, kControl = 22100;
+constexpr size_t kLargestLog = size_t{512} << 20;
+
+std::string At(const std::string& host, int port) { return host + ":" + std::to_string(port); }
+std::string TierOf(int sidecar) { return sidecar % 2 == 0 ? "front" : "ledger"; }
+std::string ZoneOf(int i) { return i % 2 == 0 ? "east" : "west"; }
+
+}  // namespace
+
+ControlLine::ControlLine(net::Loop& loop, const std::string& address) : stream_(loop, this) {
+  stream_.Connect(*net::ParseAddress(address));
+}
+void ControlLine::OnConnected(bool ok) {
+  up_ = ok;
+  if (ok) stream_.Read();
+}
+void ControlLine::OnEnd() {
+  up_ = false;
+  stream_.Close();
+}
+void ControlLine::Say(const std::string& command) {
+  if (up_) stream_.Write(command + "\n");
+}
+
+World::World(net::Loop& loop, const BedPlan& plan, const Programs& programs)
+    : loop_(loop), plan_(plan), programs_(programs), own_(OwnAddress()) {
+  folder_ = (std::filesystem::temp_directory_path() /
+             ("umberdyke-bed-" + std::to_string(getpid()) + "-" + std::to_string(plan.seed)))
+                .string();
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  for (int i = 0; i < plan.members; ++i) members_.push_back(At(own_, kMembers + i));
+  control_address_ = At(own_, kControl);
+  agents_.resize(static_cast<size_t>(plan.agents));
+  sidecars_.resize(static_cast<size_t>(plan.sidecars));
+  const auto relay = [&](std::vector<std::unique_ptr<Relay>>* into, const std::string& target) {
+    into->push_back(std::make_unique<Relay>(loop_, own_, target));
+  };
+  for (int i = 0; i < plan.sidecars; ++i) {
+    Sidecar& sidecar = sidecars_[static_cast<size_t>(i)];
+    sidecar.name = TierOf(i) + "-" + std::to_string(i);
+    sidecar.listen = *net::ParseAddress(At(own_, kListen + i));
+    sidecar.console = At(own_, kConsole + i);
+    for (const std::string& member : members_) relay(&sidecar.to_service, member);
+  }
+  for (int i = 0; i < plan.agents; ++i) {
+    Agent& agent = agents_[static_cast<size_t>(i)];
+    agent.host = "host-" + std::to_string(i);
+    for (const std::string& member : members_) relay(&agent.to_service, member);
+    for (const Sidecar& sidecar : sidecars_) relay(&agent.to_consoles, sidecar.console);
+  }
+  WriteFiles();
+}
+
+World::~World() {
+  for (Sidecar& sidecar : sidecars_) sidecar.process.reset();
+  for (Agent& agent : agents_) agent.process.reset();
+  servers_.reset();
+  service_.reset();
+  std::error_code ignored;
+  if (!programs_.keep) std::filesystem::remove_all(folder_, ignored);
+}
+
+// The application as its operators would describe it.
+std::string World::Description() const {
+  std::ostringstream out;
+  std::string members;
+  for (const std::string& member : members_) members += (members.empty() ? "\"" : ", \"") + member + "\"";
+  const auto ms = [](int n) { return "\"" + std::to_string(n) + "ms\""; };
+  out << "format = 1\napplication = \"linen-track\"\nzones = [\"east\", \"west\"]\nkinds = [\"std\"]\n"
+      << "[limits]\ndescriptors = 256\nmemory = \"64MiB\"\n[log]\nformat = \"json\"\nlevel = \"debug\"\n"
+      << "[rules]\nretry_after = \"2s\"\ntick = \"1ms\"\n[report]\nfigures = [\"queue\", \"inflight\"]\n"
+      << "[fleet]\ncoordinators = [" << members << "]\npath = \"" << base_
+      << "\"\nsession = " << ms(plan_.session_ms) << "\nmargin = " << ms(plan_.margin_ms)
+      << "\nrest = " << ms(plan_.rest_ms) << "\ncensus_every = " << ms(plan_.census_ms)
+      << "\ntidy_every = " << ms(plan_.tidy_ms) << "\ntidy_after = " << ms(plan_.tidy_after_ms) << "\n";
+  for (const char* tier : {"front", "ledger"}) {
+    if (tier == std::string("ledger") && sidecars_.size() < 2) break;
+    out << "[[tier]]\nname = \"" << tier << "\"\n"
+        << (tier == std::string("front") && sidecars_.size() > 1 ? "calls = [\"ledger\"]\n" : "")
+        << "coordinators = [" << members << "]\nnodes = \"/linen-track/servers\"\n"
+        << "register_under = \"/linen-track/sidecars\"\nsession = \"2s\"\nguard_hold = \"2s\"\nkeeps_keys = "
+           "\"10s\"\n";
+  }
+  out << "[[class]]\nname = \"lot-status\"\nmethod = \"GET\"\nrepeat = \"safe\"\naim = \"1500ms\"\ngive_up = "
+         "\"4s\"\n"
+      << "worth = 2\n[[class]]\nname = \"handover\"\nmethod = \"POST\"\nrepeat = \"keyed\"\nkey = "
+         "\"Idempotency-Key\"\n"
+      << "key_window = \"6s\"\nkey_scope = \"zone\"\naim = \"1500ms\"\ngive_up = \"4s\"\nworth = 6\n";
+  for (size_t i = 0; i < agents_.size(); ++i) {
+    out << "[[host]]\nname = \"" << agents_[i].host << "\"\naddress = \"" << own_ << "\"\nzone = \""
+        << ZoneOf(static_cast<int>(i)) << "\"\ndescriptors = 1048576\nmemory = \"512GiB\"\ncores = 1000\n";
+  }
+  for (size_t i = 0; i < sidecars_.size(); ++i) {
+    out << "[[sidecar]]\nname = \"" << sidecars_[i].name << "\"\ntier = \"" << TierOf(static_cast<int>(i))
+        << "\"\nhost = \"" << agents_[i % agents_.size()].host << "\"\nlisten = \""
+        << net::PrintAddress(sidecars_[i].listen) << "\"\nconsole = \"" << sidecars_[i].console << "\"\n";
+  }
+  return out.str();
+}
+
+// The files as the tool writes them, with this bed's relays in the links' places.
+void World::WriteFiles() {
+  config::Findings findings;
+  const std::string text = Description();
+  auto app = config::ReadApplication("bed.toml", text, &findings);
+  if (app) config::CheckApplication(*app, &findings);
+  if (!findings.empty())
+    throw std::runtime_error("the bed's description: " + config::PrintLine(findings.list()[0]));
+  const auto put = [&](const std::string& name, const std::string& bytes) {
+    const std::string path = folder_ + "/" + name;
+    if (const std::string error = files::WriteWhole(path, bytes); !error.empty())
+      throw std::runtime_error(error);
+    return path;
+  };
+  put("description.toml", text);
+  for (Agent& agent : agents_) {
+    for (const config::WrittenFile& file : config::WriteSidecars(*app, agent.host)) {
+      Json json = Json::parse(file.text);
+      json.erase("written");
+      if (json.contains("kind")) {
+        json["servers"] = Json::array();
+        for (const auto& relay : agent.to_service) json["servers"].push_back(relay->address());
+        for (Json& sidecar : json["sidecars"]) {
+          for (size_t i = 0; i < sidecars_.size(); ++i) {
+            if (sidecars_[i].name == sidecar["name"]) sidecar["console"] = agent.to_consoles[i]->address();
+          }
+        }
+        agent.file = put(file.name, json.dump(1));
+        continue;
+      }
+      for (Sidecar& sidecar : sidecars_) {
+        if (json["name"] != sidecar.name) continue;
+        json["membership"]["servers"] = Json::array();
+        for (const auto& relay : sidecar.to_service)
+          json["membership"]["servers"].push_back(relay->address());
+        json["settings"]["tier"] = 0;  // clients reach each of them
+        sidecar.file = put(file.name, json.dump(1));
+      }
+    }
+  }
+}
+
+bool World::Start(std::string* why) {
+  std::vector<std::string> coordinator = {programs_.lab,    "coordinator",
+                                          "--control",      control_address_,
+                                          "--commits",      folder_ + "/commits",
+                                          "--seed",         std::to_string(plan_.seed),
+                                          "--zxid",         std::to_string(plan_.zxid),
+                                          "--most-seconds", "3600"};
+  for (const std::string& member : members_) coordinator.insert(coordinator.end(), {"--listen", member});
+  service_ = std::make_unique<Process>(coordinator, folder_ + "/service.log");
+  const auto connects = [&](const std::string& address) {
+    net::Message none;
+    Caller caller(loop_, *net::ParseAddress(address));
+    bool over = false;
+    caller.Ask("", [&](const net::Message&) { over = true; });
+    loop_.RunUntil([&] { return over; }, 20ms);
+    return !over;  // what listens takes it and says nothing
+  };
+  for (int i = 0; i < 250 && !connects(control_address_); ++i) loop_.RunUntil([] { return false; }, 20ms);
+  control_ = std::make_unique<ControlLine>(loop_, control_address_);
+  if (!loop_.RunUntil([&] { return control_->up(); }, 5s)) {
+    *why = "the service did not come up: " + files::ReadWhole(folder_ + "/service.log", 4096).text;
+    return false;
+  }
+  for (const char* path : {"/linen-track", "/linen-track/servers", "/linen-track/sidecars"}) {
+    control_->Say(std::string("create ") + path);
+  }
+  std::vector<std::string> servers = {programs_.lab,
+                                      "fleet",
+                                      "servers",
+                                      "--count",
+                                      std::to_string(plan_.servers),
+                                      "--path",
+                                      "/linen-track/servers",
+                                      "--ledger",
+                                      folder_ + "/ledger",
+                                      "--seed",
+                                      std::to_string(plan_.seed)};
+  for (const std::string& member : members_) servers.insert(servers.end(), {"--coordinator", member});
+  servers_ = std::make_unique<Process>(servers, folder_ + "/servers.log");
+  for (int i = 0; i < plan_.sidecars; ++i) StartSidecar(i);
+  const net::Time end = net::Clock::now() + 15s;
+  for (int i = 0; i < plan_.sidecars; ++i) {
+    while (!SidecarReady(i)) {
+      if (net::Clock::now() > end || sidecar(i)->Ended()) {
+        *why = "a sidecar did not come up: " +
+               files::ReadWhole(sidecars_[static_cast<size_t>(i)].logs.back(), 4096).text;
+        return false;
+      }
+      loop_.RunUntil([] { return false; }, 20ms);
+    }
+  }
+  for (int i = 0; i < plan_.agents; ++i) StartAgent(i);
+  loop_.RunUntil([] { return false; }, 300ms);  // the lists are read
+  commits_.open(folder_ + "/commits");
+  return true;
+}
+
+void World::StartAgent(int i) {
+  Agent& agent = agents_[static_cast<size_t>(i)];
+  std::vector<std::string> command = {programs_.agent, "--config", agent.file};
+  if (!programs_.wrong_agent.empty()) {
+    command = {programs_.lab, "fleet",   "wrong-agent",        "--config",
+               agent.file,    "--wrong", programs_.wrong_agent};
+  }
+  agent.process.reset();
+  agent.process = std::make_unique<Process>(
+      command, folder_ + "/" + agent.host + ".log." + std::to_string(++agent.lives));
+}
+
+void World::StartSidecar(int i) {
+  Sidecar& sidecar = sidecars_[static_cast<size_t>(i)];
+  sidecar.logs.push_back(folder_ + "/" + sidecar.name + ".log." + std::to_string(++sidecar.lives));
+  std::vector<std::string> command = {programs_.sidecar, "--config", sidecar.file};
+  if (programs_.unfenced) {
+    command = {programs_.lab, "fleet", "unfenced", "--console", sidecar.console, "--name", sidecar.name};
+  }
+  sidecar.process.reset();
+  sidecar.process = std::make_unique<Process>(command, sidecar.logs.back());
+}
+
+void World::KillAgent(int i, int signal) {
+  if (agent(i) != nullptr) agent(i)->Tell(signal);
+}
+void World::KillSidecar(int i, int signal) {
+  if (sidecar(i) != nullptr) sidecar(i)->Tell(signal);
+}
+void World::StopService(int signal) { service_->Tell(signal); }
+
+namespace {
+std::vector<Relay*> Raw(const std::vector<std::unique_ptr<Relay>>& relays) {
+  std::vector<Relay*> raw;
+  for (const auto& relay : relays) raw.push_back(relay.get());
+  return raw;
+}
+}  // namespace
+
+std::vector<Relay*> World::ToService(int agent) {
+  return Raw(agents_[static_cast<size_t>(agent)].to_service);
+}
+std::vector<Relay*> World::ToConsoles(int agent) {
+  return Raw(agents_[static_cast<size_t>(agent)].to_consoles);
+}
+std::vector<Relay*> World::SidecarToService(int i) {
+  return Raw(sidecars_[static_cast<size_t>(i)].to_service);
+}
+
+std::string World::Call(const net::Address& to, const std::string& request, int* status) {
+  net::Message answer;
+  Caller caller(loop_, to);
+  caller.Ask(request, [&](const net::Message& a) { answer = a; });
+  loop_.RunUntil([&] { return !caller.asking; }, 500ms);
+  *status = answer.status;
+  return answer.body;
+}
+
+bool World::SidecarReady(int i) {
+  int status = 0;
+  Console(i, "/v1/readyz", &status);
+  return status == 200;
+}
+
+std::string World::Console(int i, const std::string& path, int* status) {
+  const Sidecar& sidecar = sidecars_[static_cast<size_t>(i)];
+  return Call(*net::ParseAddress(sidecar.console), "GET " + path + " HTTP/1.1\r\nHost: s\r\n\r\n", status);
+}
+
+void World::Follow() {
+  if (!commits_.is_open()) return;
+  commits_.clear();
+  std::string fresh((std::istreambuf_iterator<char>(commits_)), std::istreambuf_iterator<char>());
+  rest_ += fresh;
+  const size_t end = rest_.rfind('\n');
+  if (end == std::string::npos) return;
+  const std::string prefix = base_ + "/duties/";
+  for (const ServiceLine& line : ReadServiceLines(std::string_view(rest_).substr(0, end + 1))) {
+    if (!line.path.starts_with(prefix)) continue;
+    const std::string rest = line.path.substr(prefix.size());
+    const size_t slash = rest.find('/');
+    if (slash == std::string::npos) continue;
+    Duty& duty = duties_[rest.substr(0, slash)];
+    const std::string below = rest.substr(slash + 1);
+    if (below == "journal" && line.what == "set") {
+      const auto read = fleet::ReadJournal(line.data);
+      const auto* journal = std::get_if<owner::Journal>(&read);
+      if (journal != nullptr && journal->committed) {
+        ++duty.commits;
+        duty.last = net::Time(std::chrono::microseconds(line.us));
+      }
+    }
+    if (!below.starts_with("claims/")) continue;
+    const auto name = owner::ReadClaimName(below.substr(7));
+    if (!name) continue;
+    if (line.what == "deleted") {
+      duty.claims.erase(name->number);
+    } else if (line.what == "created") {
+      const auto agent = fleet::ReadAgent(line.data);
+      int who = -1;
+      for (size_t i = 0; i < agents_.size(); ++i) {
+        if (const auto* a = std::get_if<fleet::Agent>(&agent); a != nullptr && a->host == agents_[i].host) {
+          who = static_cast<int>(i);
+        }
+      }
+      duty.claims[name->number] = {line.zxid, who};
+      duty.names[name->number] = line.path;
+    }
+  }
+  rest_.erase(0, end + 1);
+}
+
+int World::OwnerOf(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  return it == duties_.end() || it->second.claims.empty() ? -1 : it->second.claims.begin()->second.second;
+}
+
+std::int64_t World::TermOf(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  return it == duties_.end() || it->second.claims.empty() ? 0 : it->second.claims.begin()->second.first;
+}
+
+std::string World::ClaimOf(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  if (it == duties_.end() || it->second.claims.empty()) return "";
+  return it->second.names.at(it->second.claims.begin()->first);
+}
+
+std::uint64_t World::CommitsOf(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  return it == duties_.end() ? 0 : it->second.commits;
+}
+
+net::Time World::last_commit(const std::string& duty) const {
+  const auto it = duties_.find(duty);
+  return it == duties_.end() ? net::Time() : it->second.last;
+}
+
+void World::Gather(Evidence* evidence) {
+  evidence->base = base_;
+  // Orders that links still hold arrive now, at places that are up.
+  for (Agent& agent : agents_) {
+    for (const auto& relay : agent.to_consoles) relay->Heal();
+  }
+  loop_.RunUntil([] { return false; }, 50ms);
+  const auto end = [&](Process* process, const std::string& what, net::Span time) {
+    if (process == nullptr) return;
+    process->Tell(SIGCONT);
+    process->Tell(SIGTERM);
+    if (!loop_.RunUntil([&] { return process->Ended().has_value(); }, time)) {
+      evidence->troubles.push_back(what + " did not end");
+    } else if (*process->Ended() != 0) {
+      evidence->troubles.push_back(what + " ended with status " + std::to_string(*process->Ended()));
+    }
+  };
+  for (Agent& agent : agents_) end(agent.process.get(), "the agent of " + agent.host, 5s);
+  for (Sidecar& sidecar : sidecars_) {
+    if (sidecar.process) sidecar.process->Tell(SIGTERM);
+  }
+  for (Sidecar& sidecar : sidecars_) end(sidecar.process.get(), sidecar.name, 10s);
+  end(servers_.get(), "the servers", 5s);
+  for (const Sidecar& sidecar : sidecars_) {
+    PlaceLog place;
+    place.name = sidecar.name;
+    for (const std::string& log : sidecar.logs) ReadPlaceLog(files::ReadWhole(log, kLargestLog).text, &place);
+    evidence->places.push_back(std::move(place));
+  }
+  evidence->service = ReadServiceLines(files::ReadWhole(folder_ + "/commits", kLargestLog).text);
+  const Json ledger = Json::parse(files::ReadWhole(folder_ + "/ledger", 1 << 20).text, nullptr, false);
+  if (!ledger.is_object()) {
+    evidence->troubles.push_back("the servers left no ledger");
+    return;
+  }
+  evidence->asked.doubled = ledger.value("doubled", std::uint64_t{0});
+  evidence->asked.at_once = ledger.value("at_once", std::uint64_t{0});
+}
+
+}  // namespace umberdyke::lab
--- /dev/null
+++ b/src/lab/fleet/world.h
@@ -0,0 +1,118 @@
+// The processes and links of one bed, started and struck from outside. The bed's runs and measurements share
+// it.
+#ifndef UMBERDYKE_LAB_FLEET_WORLD_H_
+#define UMBERDYKE_LAB_FLEET_WORLD_H_
+
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/common/process.h"
+#include "lab/fleet/bed.h"
+#include "lab/fleet/relay.h"
+#include "loop/loop.h"
+
+namespace umberdyke::lab {
+
+// Commands to the stand-in service; answers are read and thrown away unless asked for.
+class ControlLine : public net::StreamUser {
+ public:
+  ControlLine(net::Loop& loop, const std::string& address);
+  void Say(const std::string& command);
+  bool up() const { return up_; }
+
+ private:
+  void OnConnected(bool ok) override;
+  void OnData(std::string_view) override {}
+  void OnEnd() override;
+  net::Stream stream_;
+  bool up_ = false;
+};
+
+class World {
+ public:
+  // Throws std::runtime_error where it cannot be set up.
+  World(net::Loop& loop, const BedPlan& plan, const Programs& programs);
+  ~World();
+
+  // All processes; false, with why, where one does not come up.
+  bool Start(std::string* why);
+  void StartAgent(int i);
+  void StartSidecar(int i);
+  // Reads what the service has committed since, and keeps track of who owns what.
+  void Follow();
+  int OwnerOf(const std::string& duty) const;  // an agent; -1: nobody
+  std::int64_t TermOf(const std::string& duty) const;
+  std::uint64_t CommitsOf(const std::string& duty) const;
+  std::string ClaimOf(const std::string& duty) const;  // the owner's, its path
+  net::Time last_commit(const std::string& duty) const;
+
+  int agents() const { return plan_.agents; }
+  int sidecars() const { return plan_.sidecars; }
+  Process* agent(int i) { return agents_[static_cast<size_t>(i)].process.get(); }
+  Process* sidecar(int i) { return sidecars_[static_cast<size_t>(i)].process.get(); }
+  Process* service() { return service_.get(); }
+  void KillAgent(int i, int signal);
+  void KillSidecar(int i, int signal);
+  void StopService(int signal);
+  std::vector<Relay*> ToService(int agent);
+  std::vector<Relay*> ToConsoles(int agent);
+  std::vector<Relay*> SidecarToService(int sidecar);
+  ControlLine& control() { return *control_; }
+  const std::string& folder() const { return folder_; }
+  const net::Address& listen(int sidecar) const { return sidecars_[static_cast<size_t>(sidecar)].listen; }
+  const std::string& base() const { return base_; }
+  bool SidecarReady(int i);
+  std::string Console(int sidecar, const std::string& path, int* status);  // a call past the relays
+
+  // After the run: ends all, and gathers what they left.
+  void Gather(Evidence* evidence);
+
+ private:
+  struct Agent {
+    std::unique_ptr<Process> process;
+    std::string file, host;
+    int lives = 0;
+    std::vector<std::unique_ptr<Relay>> to_service, to_consoles;
+  };
+  struct Sidecar {
+    std::unique_ptr<Process> process;
+    std::string name, file, console;
+    net::Address listen{};
+    int lives = 0;
+    std::vector<std::unique_ptr<Relay>> to_service;
+    std::vector<std::string> logs;
+  };
+  struct Duty {
+    std::map<std::int64_t, std::pair<std::int64_t, int>> claims;  // number to term and agent
+    std::map<std::int64_t, std::string> names;
+    std::uint64_t commits = 0;
+    net::Time last{};
+  };
+  std::string Description() const;
+  void WriteFiles();
+  std::string Call(const net::Address& to, const std::string& request, int* status);
+
+  net::Loop& loop_;
+  const BedPlan plan_;
+  const Programs programs_;
+  const std::string own_;  // the address of this bed's processes
+  const std::string base_ = "/linen-track/fleet";
+  std::string folder_;
+  std::vector<std::string> members_;
+  std::string control_address_;
+  std::unique_ptr<Process> service_, servers_;
+  std::unique_ptr<ControlLine> control_;
+  std::vector<Agent> agents_;
+  std::vector<Sidecar> sidecars_;
+  std::ifstream commits_;
+  std::string rest_;  // of a line that is not whole yet
+  std::map<std::string, Duty> duties_;
+};
+
+}  // namespace umberdyke::lab
+
+#endif  // UMBERDYKE_LAB_FLEET_WORLD_H_
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -9,6 +9,7 @@
 #include "lab/coordinator/control.h"
 #include "lab/coordinator/ensemble.h"
 #include "lab/experiments.h"
+#include "lab/fleet/commands.h"
 #include "lab/membership/propagation.h"
 #include "lab/membership/run.h"
 
@@ -46,12 +47,16 @@
 void AddCoordinator(CLI::App& app, int* status) {
   static Coordinator options;
   CLI::App* sub = app.add_subcommand("coordinator", "Play a coordination service on one address or several");
-  sub->add_option("--listen", options.addresses, "An address on loopback; several share one state")->required();
-  sub->add_option("--control", options.control, "An address that takes commands, a line each; 'help' lists them");
+  sub->add_option("--listen", options.addresses, "An address on loopback; several share one state")
+      ->required();
+  sub->add_option("--control", options.control,
+                  "An address that takes commands, a line each; 'help' lists them");
   sub->add_option("--commits", options.commits, "A file that gets a JSON line for each write that was done");
-  sub->add_option("--zxid", options.zxid, "Transactions begin behind this number")->check(CLI::NonNegativeNumber);
+  sub->add_option("--zxid", options.zxid, "Transactions begin behind this number")
+      ->check(CLI::NonNegativeNumber);
   sub->add_option("--seed", options.seed, "Of the sessions' numbers and passwords");
-  sub->add_option("--most-seconds", options.most_s, "It ends by itself after this")->check(CLI::Range(1.0, 86400.0));
+  sub->add_option("--most-seconds", options.most_s, "It ends by itself after this")
+      ->check(CLI::Range(1.0, 86400.0));
   sub->footer("Example:\n  umberdyke_lab coordinator --listen 127.0.0.1:2181 --listen 127.0.0.1:2182");
   sub->callback([status] { *status = Coordinate(options); });
 }
@@ -112,6 +117,8 @@
   AddCoordinator(app, &status);
   AddMembership(app, &status);
   AddPropagation(app, &status);
+  lab::AddFleet(app, &status);
+  lab::AddExplore(app, &status);
   lab::AddExperiments(app, &status);
   try {
     app.parse(argc, argv);
--- a/src/owner/claim.cpp
+++ b/src/owner/claim.cpp
@@ -8,8 +8,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr Moment kAgain = 100ms;   // after a call that failed, on a connection that stands
-constexpr int kConfirmsEach = 4;   // confirmations in a session's time
+constexpr Moment kAgain = 100ms;  // after a call that failed, on a connection that stands
+constexpr int kConfirmsEach = 4;  // confirmations in a session's time
 constexpr size_t kMostDigits = 18;
 
 bool Plain(std::string_view id) {
@@ -284,8 +284,8 @@
 void Claim::Print(std::string* out) const {
   for (const std::int64_t number :
        {static_cast<std::int64_t>(state_), std::int64_t{open_}, session_, std::int64_t{lives_}, term_,
-        std::int64_t{begun_}, std::int64_t{confirm_out_}, confirm_out_ ? asked_.count() : 0, act_until_.count(),
-        confirm_at_.count(), rest_until_.count(), retry_at_.count()}) {
+        std::int64_t{begun_}, std::int64_t{confirm_out_}, confirm_out_ ? asked_.count() : 0,
+        act_until_.count(), confirm_at_.count(), rest_until_.count(), retry_at_.count()}) {
     out->append(std::to_string(number)).push_back(',');
   }
   out->append(own_).push_back(',');
--- a/src/owner/claim.h
+++ b/src/owner/claim.h
@@ -1,13 +1,13 @@
 // One candidate's claim to one duty: who does work on behalf of the fleet, one at a time.
 //
 // The published recipe on a coordination service: each candidate keeps an ephemeral node with a number in its
-// name; the lowest owns the duty, and each of the others watches only the one before it. The owner's *term* is
-// the number of the transaction that created its node, so it only grows from one owner to the next.
+// name; the lowest owns the duty, and each of the others watches only the one before it. The owner's *term*
+// is the number of the transaction that created its node, so it only grows from one owner to the next.
 //
 // What this room is for: deciding what is asked of the service next, and until when an owner may act. It may
 // not know the service's protocol, processes, sockets or the decision module, and reads no clock: time comes
-// in, on a clock that also counts a suspended machine's time. An owner's own belief is never enough to keep an
-// old owner's work out; that is the fence's task (fence.h), where the effect lands.
+// in, on a clock that also counts a suspended machine's time. An owner's own belief is never enough to keep
+// an old owner's work out; that is the fence's task (fence.h), where the effect lands.
 #ifndef UMBERDYKE_OWNER_CLAIM_H_
 #define UMBERDYKE_OWNER_CLAIM_H_
 
@@ -33,7 +33,7 @@
 std::string ClaimPrefix(std::string_view id);  // what the service puts its number behind
 
 struct ClaimSettings {
-  std::string id;                                   // of this life of this candidate; of the characters 0-9, a-z
+  std::string id;  // of this life of this candidate; of the characters 0-9, a-z
   Moment session{std::chrono::milliseconds(4000)};  // the session's time, as the service granted it
   Moment margin{std::chrono::milliseconds(1000)};   // taken off it: clocks of two machines run a little apart
   Moment rest{std::chrono::milliseconds(8000)};     // after a resignation, before it stands again
@@ -76,7 +76,17 @@
 
 class Claim {
  public:
-  enum class State { kAway, kLooking, kCreating, kWatching, kReading, kConfirming, kOwning, kLeaving, kResting };
+  enum class State {
+    kAway,
+    kLooking,
+    kCreating,
+    kWatching,
+    kReading,
+    kConfirming,
+    kOwning,
+    kLeaving,
+    kResting
+  };
 
   explicit Claim(ClaimSettings settings) : settings_(std::move(settings)) {}
 
@@ -85,7 +95,8 @@
   // It broke; the session may live on.
   void Interrupted(Moment now, Actions* out);
   void Expired(Moment now, Actions* out);
-  void Listed(Moment now, std::uint64_t ticket, Told told, const std::vector<std::string>& names, Actions* out);
+  void Listed(Moment now, std::uint64_t ticket, Told told, const std::vector<std::string>& names,
+              Actions* out);
   void Created(Moment now, std::uint64_t ticket, Told told, Actions* out);
   void Read(Moment now, std::uint64_t ticket, Told told, Term created, Session owner, Actions* out);
   void Watched(Moment now, std::uint64_t ticket, Told told, Actions* out);
@@ -100,8 +111,8 @@
   // May an effect begin now? Reckoned from when the confirming request was sent, never from its answer.
   bool MayAct(Moment now) const { return state_ == State::kOwning && now < act_until_; }
   Moment act_until() const { return act_until_; }
-  // As a careless candidate would: its time reckoned from the answer. For the explorer and wrong stand-ins alone,
-  // which show what comes of it.
+  // As a careless candidate would: its time reckoned from the answer. For the explorer and wrong stand-ins
+  // alone, which show what comes of it.
   void ReckonFrom(Moment answered) { asked_ = answered; }
   State state() const { return state_; }
   Term term() const { return term_; }
@@ -110,8 +121,8 @@
   const std::string& id() const { return id_; }
 
   friend bool operator==(const Claim&, const Claim&) = default;
-  // All that decides what it does next, as text: for the explorer, which must not go the same way twice. Tickets
-  // are left out; an answer is told by whether it is still awaited.
+  // All that decides what it does next, as text: for the explorer, which must not go the same way twice.
+  // Tickets are left out; an answer is told by whether it is still awaited.
   void Print(std::string* out) const;
   bool Awaits(std::uint64_t ticket) const { return ticket == ticket_; }
 
@@ -126,14 +137,14 @@
 
   ClaimSettings settings_;
   State state_ = State::kAway;
-  bool open_ = false;        // a connection is up
+  bool open_ = false;  // a connection is up
   Session session_ = 0;
   std::string id_ = settings_.id;  // of this session: another session's node must not pass for ours
   int lives_ = 0;
   std::string own_, before_;
   Term term_ = 0;
-  bool begun_ = false;          // kBegin was said, and no kEnd since
-  Moment asked_{};              // when the confirming request was sent that is out
+  bool begun_ = false;  // kBegin was said, and no kEnd since
+  Moment asked_{};      // when the confirming request was sent that is out
   bool confirm_out_ = false;
   Moment act_until_{};
   Moment confirm_at_{};
--- a/src/owner/fence.h
+++ b/src/owner/fence.h
@@ -1,10 +1,10 @@
-// The fence at a place of effect: what an older owner sent is refused once a newer one's was taken, and no step
-// is done twice. Pure; the place hands in what the order said.
+// The fence at a place of effect: what an older owner sent is refused once a newer one's was taken, and no
+// step is done twice. Pure; the place hands in what the order said.
 //
-// A place that has just started has seen no term at all, so a term alone would let an old owner in. Each start
-// of a place is a *life* with a name of its own, which an order has to bear. An owner asks for the name and then
-// has the coordination service confirm its claim before it orders anything under that name: whoever was replaced
-// before this life began learns it there (docs/owner.md).
+// A place that has just started has seen no term at all, so a term alone would let an old owner in. Each
+// start of a place is a *life* with a name of its own, which an order has to bear. An owner asks for the name
+// and then has the coordination service confirm its claim before it orders anything under that name: whoever
+// was replaced before this life began learns it there (docs/owner.md).
 #ifndef UMBERDYKE_OWNER_FENCE_H_
 #define UMBERDYKE_OWNER_FENCE_H_
 
--- a/src/platform/console_calls.cpp
+++ b/src/platform/console_calls.cpp
@@ -36,7 +36,8 @@
   return number;
 }
 
-std::variant<ConsoleCall, FleetOrder, FleetNote, NoCall> ReadOrder(const Message& message, std::string_view duty) {
+std::variant<ConsoleCall, FleetOrder, FleetNote, NoCall> ReadOrder(const Message& message,
+                                                                   std::string_view duty) {
   FleetOrder order;
   order.duty = std::string(duty);
   const std::string* application = message.Find(kApplicationHeader);
--- a/src/platform/console_calls.h
+++ b/src/platform/console_calls.h
@@ -14,7 +14,8 @@
 
 enum class ConsoleCall { kReady, kMetrics, kDrain, kActivate, kFleet };
 
-// What an owner of a fleet-wide duty wants this sidecar to take, numbered so that it is taken once (owner/fence.h).
+// What an owner of a fleet-wide duty wants this sidecar to take, numbered so that it is taken once
+// (owner/fence.h).
 struct FleetOrder {
   std::string duty, application, life;
   std::int64_t term = 0;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -52,7 +52,9 @@
   return std::max<Span>(KillTime(settings) - useful - kToSpare, kServeOnAtLeast);
 }
 
-int MostCallers(const Config& config) { return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers); }
+int MostCallers(const Config& config) {
+  return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers);
+}
 
 // Of clients, and as many of real servers. Two processes of one sidecar hold half of its descriptors each.
 int EdgeLimit(const Config& config, bool shared = false) {
--- a/src/zookeeper/node_client.cpp
+++ b/src/zookeeper/node_client.cpp
@@ -344,7 +344,8 @@
 }
 
 void NodeClient::Names(const std::string& path, OnNames done) {
-  ReadWatched<std::vector<std::string>>(jute::kGetChildren2, path, &jute::Reader::Texts, nullptr, std::move(done));
+  ReadWatched<std::vector<std::string>>(jute::kGetChildren2, path, &jute::Reader::Texts, nullptr,
+                                        std::move(done));
 }
 
 void NodeClient::Read(const std::string& path, OnContent done) {
@@ -410,7 +411,8 @@
 }
 
 void NodeClient::Sync(const std::string& path, OnDone done) {
-  Ask(jute::kSync, jute::Writer().Text(Full(path)), [done = std::move(done)](int rc, jute::Reader&) { done(rc); });
+  Ask(jute::kSync, jute::Writer().Text(Full(path)),
+      [done = std::move(done)](int rc, jute::Reader&) { done(rc); });
 }
 
 void NodeClient::Multi(const std::vector<Op>& parts,
--- a/src/zookeeper/node_client.h
+++ b/src/zookeeper/node_client.h
@@ -1,6 +1,6 @@
 // A session with a coordination service on the event loop, by its published protocol: reads with one-shot
-// watches, ephemeral and sequential nodes, several writes that are done together or not at all, and a new session
-// when the old one has expired.
+// watches, ephemeral and sequential nodes, several writes that are done together or not at all, and a new
+// session when the old one has expired.
 //
 // Every call answers once, later, in the order of the calls. Nothing here waits, looks names up or believes a
 // byte more than it has to: whatever is no message of the protocol ends the connection, and the next address
@@ -107,13 +107,14 @@
   // `watch`: a notice once it is created, changed or gone, whether it is there now or not.
   void Exists(const std::string& path, bool watch, std::function<void(int rc, const NodeStat& stat)> done);
   void CreateNode(const std::string& path, const std::string& data, OnDone done);  // persistent
-  // An ephemeral node whose name is the prefix and a number that the service draws, growing. Where the answer is
-  // lost the caller finds out by the list of names: the prefix has to bear an id.
+  // An ephemeral node whose name is the prefix and a number that the service draws, growing. Where the answer
+  // is lost the caller finds out by the list of names: the prefix has to bear an id.
   void CreateSequential(const std::string& prefix, const std::string& data,
                         std::function<void(int rc, const std::string& path)> done);
   // What this member knows next is at least what the service had committed when this was asked.
   void Sync(const std::string& path, OnDone done);
-  // All or nothing. `each` has a code for every part where the service answered; `rc` is the first that went wrong.
+  // All or nothing. `each` has a code for every part where the service answered; `rc` is the first that went
+  // wrong.
   void Multi(const std::vector<Op>& parts, std::function<void(int rc, const std::vector<int>& each)> done);
 
   bool connected() const { return state_ == State::kConnected; }
@@ -149,8 +150,7 @@
   void PutAcl(bool own, jute::Writer* body) const;
   template <typename Content>
   void ReadWatched(std::int32_t type, const std::string& path, Content (jute::Reader::*take)(),
-                   std::set<std::string>* watches,
-                   std::function<void(int, Content, const NodeStat&)> done);
+                   std::set<std::string>* watches, std::function<void(int, Content, const NodeStat&)> done);
   void SetWatches();
   void EndCalls(int rc);
   std::string Full(const std::string& path) const { return settings_.chroot + path; }
--- a/tests/config/broken_test.cpp
+++ b/tests/config/broken_test.cpp
@@ -125,14 +125,16 @@
       // The fleet.
       {"[[tier]]", "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\npath = \"/f\"\nmargin = \"3s\"\n[[tier]]",
        "margin-too-long", "margin"},
-      {"[[tier]]", "[fleet]\ncoordinators = [\"zk:2181\"]\npath = \"/f\"\n[[tier]]", "bad-address", "coordinators"},
+      {"[[tier]]", "[fleet]\ncoordinators = [\"zk:2181\"]\npath = \"/f\"\n[[tier]]", "bad-address",
+       "coordinators"},
       {"[[tier]]", "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\n[[tier]]", "missing-key", "[fleet]"},
-      {"[[tier]]", "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\npath = \"f\"\n[[tier]]", "bad-path", "path = "},
+      {"[[tier]]", "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\npath = \"f\"\n[[tier]]", "bad-path",
+       "path = "},
       {"[[tier]]", "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\npath = \"/f\"\n[[tier]]", "console-missing",
        "[[sidecar]]\nname = \"front-2\""},
       {"[[tier]]",
-       "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\npath = \"/f\"\n[[tier]]\nregister_under = \"/f/s\"", "path-shared",
-       "path ="},
+       "[fleet]\ncoordinators = [\"127.0.0.1:2181\"]\npath = \"/f\"\n[[tier]]\nregister_under = \"/f/s\"",
+       "path-shared", "path ="},
   };
   return cases;
 }
--- a/tests/owner/owner_test.cpp
+++ b/tests/owner/owner_test.cpp
@@ -1,5 +1,5 @@
-// The claim, the fence and the journal by themselves, and all their interleavings within small bounds; each guard taken
-// out has to break what it guards.
+// The claim, the fence and the journal by themselves, and all their interleavings within small bounds; each
+// guard taken out has to break what it guards.
 #include <catch2/catch.hpp>
 
 #include "lab/explore/explore.h"
@@ -23,8 +23,8 @@
   CHECK(owner::ReadClaimName(good)->id == "a1b2.3");
   CHECK(owner::ReadClaimName(good)->number == 12);
   CHECK(owner::ReadClaimName("c-a-4294967297")->number == 4294967297);
-  for (const char* bad : {"", "c-", "c-a", "c-a-", "c-a-12", "c--0000000012", "x-a-0000000012", "c-a-000000001x",
-                          "c-a--000000012", "c-A-0000000012", "c-a-0000000000000000012",
+  for (const char* bad : {"", "c-", "c-a", "c-a-", "c-a-12", "c--0000000012", "x-a-0000000012",
+                          "c-a-000000001x", "c-a--000000012", "c-A-0000000012", "c-a-0000000000000000012",
                           "c-01234567890123456789012345678901234567890-0000000012"}) {
     INFO(bad);
     CHECK_FALSE(owner::ReadClaimName(bad));
@@ -40,18 +40,19 @@
   };
   constexpr owner::Term kBig = owner::Term{1} << 32, kMost = INT64_MAX;
   Fence fence;
-  for (const Case& c : std::vector<Case>{{"one", 7, 1, Fence::Verdict::kTake},
-                                         {"one", 7, 1, Fence::Verdict::kRepeat},
-                                         {"one", 7, 2, Fence::Verdict::kTake},
-                                         {"one", 7, 1, Fence::Verdict::kOldStep},
-                                         {"one", 6, 3, Fence::Verdict::kOldTerm},
-                                         {"zero", 9, 3, Fence::Verdict::kOtherLife},
-                                         {"one", 8, 2, Fence::Verdict::kRepeat},  // done again by the next owner
-                                         {"one", 7, 3, Fence::Verdict::kOldTerm},
-                                         {"one", kBig + 1, 3, Fence::Verdict::kTake},
-                                         {"one", kBig, 4, Fence::Verdict::kOldTerm},
-                                         {"one", kMost, 4, Fence::Verdict::kTake},
-                                         {"one", kMost - 1, 5, Fence::Verdict::kOldTerm}}) {
+  for (const Case& c :
+       std::vector<Case>{{"one", 7, 1, Fence::Verdict::kTake},
+                         {"one", 7, 1, Fence::Verdict::kRepeat},
+                         {"one", 7, 2, Fence::Verdict::kTake},
+                         {"one", 7, 1, Fence::Verdict::kOldStep},
+                         {"one", 6, 3, Fence::Verdict::kOldTerm},
+                         {"zero", 9, 3, Fence::Verdict::kOtherLife},
+                         {"one", 8, 2, Fence::Verdict::kRepeat},  // done again by the next owner
+                         {"one", 7, 3, Fence::Verdict::kOldTerm},
+                         {"one", kBig + 1, 3, Fence::Verdict::kTake},
+                         {"one", kBig, 4, Fence::Verdict::kOldTerm},
+                         {"one", kMost, 4, Fence::Verdict::kTake},
+                         {"one", kMost - 1, 5, Fence::Verdict::kOldTerm}}) {
     INFO(c.life << " term " << c.term << " step " << c.step);
     CHECK(fence.Judge(c.life, "one", c.term, c.step) == c.verdict);
   }
@@ -130,7 +131,8 @@
   CHECK(hand.Last(Action::Kind::kCreate)->name == "c-a-");
   hand.claim.Interrupted(hand.now, &hand.out);
   hand.claim.Opened(hand.now, 1, 4s, &hand.out);
-  hand.claim.Listed(hand.now, hand.out.back().ticket, Told::kOk, {"c-a-0000000002", "c-b-0000000001"}, &hand.out);
+  hand.claim.Listed(hand.now, hand.out.back().ticket, Told::kOk, {"c-a-0000000002", "c-b-0000000001"},
+                    &hand.out);
   CHECK(hand.Count(Action::Kind::kCreate) == 1);
   CHECK(hand.claim.watched() == "c-b-0000000001");  // the one before it, and no other
   // It came through twice all the same: the lowest stays.
@@ -180,12 +182,13 @@
   return text;
 }
 
-TEST_CASE("in every interleaving one owner acts, and no effect is late, double or skipped", "[owner][explore]") {
+TEST_CASE("in every interleaving one owner acts, and no effect is late, double or skipped",
+          "[owner][explore]") {
   lab::ExploreBounds three = Small(0, 1, 0, 0, 0, 0);
   three.candidates = 3;
   std::uint64_t refused = 0, repeated = 0;
-  for (const lab::ExploreBounds& bounds : {Small(1, 0, 0, 0, 0, 0), Small(0, 1, 1, 1, 1, 0), Small(1, 1, 0, 0, 0, 0),
-                                           Small(0, 0, 0, 1, 0, 1), three}) {
+  for (const lab::ExploreBounds& bounds : {Small(1, 0, 0, 0, 0, 0), Small(0, 1, 1, 1, 1, 0),
+                                           Small(1, 1, 0, 0, 0, 0), Small(0, 0, 0, 1, 0, 1), three}) {
     const lab::Explored explored = lab::Explore(bounds);
     INFO(Way(explored));
     CHECK(explored.broken.empty());
@@ -193,7 +196,8 @@
     refused += explored.refused;
     repeated += explored.repeated;
     std::printf("explored %llu states, %llu ways, %llu takeovers, %llu late orders refused\n",
-                static_cast<unsigned long long>(explored.states), static_cast<unsigned long long>(explored.ways),
+                static_cast<unsigned long long>(explored.states),
+                static_cast<unsigned long long>(explored.ways),
                 static_cast<unsigned long long>(explored.takeovers),
                 static_cast<unsigned long long>(explored.refused));
   }
@@ -207,13 +211,13 @@
     lab::Guards guards;
     lab::ExploreBounds bounds;
   };
-  for (const Case& c : std::vector<Case>{
-           {"the fence", {.fence = false}, Small(1, 0, 0, 1, 0, 1)},
-           {"the place's life", {.life = false}, Small(1, 0, 0, 1, 0, 1)},
-           {"the check of the claim", {.check = false}, Small(1, 0, 0, 0, 0, 1)},
-           {"the margin", {.margin = false}, Small(2, 0, 0, 0, 0, 0)},
-           {"the time of asking", {.sent_time = false}, Small(2, 0, 0, 0, 0, 0)},
-           {"the steps' numbers", {.numbers = false}, Small(1, 0, 1, 0, 0, 0)}}) {
+  for (const Case& c :
+       std::vector<Case>{{"the fence", {.fence = false}, Small(1, 0, 0, 1, 0, 1)},
+                         {"the place's life", {.life = false}, Small(1, 0, 0, 1, 0, 1)},
+                         {"the check of the claim", {.check = false}, Small(1, 0, 0, 0, 0, 1)},
+                         {"the margin", {.margin = false}, Small(2, 0, 0, 0, 0, 0)},
+                         {"the time of asking", {.sent_time = false}, Small(2, 0, 0, 0, 0, 0)},
+                         {"the steps' numbers", {.numbers = false}, Small(1, 0, 1, 0, 0, 0)}}) {
     INFO(c.name);
     const lab::Explored explored = lab::Explore(c.bounds, c.guards);
     CHECK_FALSE(explored.broken.empty());
