--- a/src/lab/fleet/world.cpp
+++ b/src/lab/fleet/world.cpp
@@ -370,21 +370,25 @@
     for (const auto& relay : agent.to_consoles) relay->Heal();
   }
   loop_.RunUntil([] { return false; }, 50ms);
-  const auto end = [&](Process* process, const std::string& what, net::Span time) {
+  // Told once: a second SIGTERM may come when the program has put its handlers away.
+  const auto tell = [](Process* process) {
     if (process == nullptr) return;
     process->Tell(SIGCONT);
     process->Tell(SIGTERM);
+  };
+  const auto end = [&](Process* process, const std::string& what, net::Span time) {
+    if (process == nullptr) return;
     if (!loop_.RunUntil([&] { return process->Ended().has_value(); }, time)) {
       evidence->troubles.push_back(what + " did not end");
     } else if (*process->Ended() != 0) {
       evidence->troubles.push_back(what + " ended with status " + std::to_string(*process->Ended()));
     }
   };
+  for (Agent& agent : agents_) tell(agent.process.get());
   for (Agent& agent : agents_) end(agent.process.get(), "the agent of " + agent.host, 5s);
-  for (Sidecar& sidecar : sidecars_) {
-    if (sidecar.process) sidecar.process->Tell(SIGTERM);
-  }
+  for (Sidecar& sidecar : sidecars_) tell(sidecar.process.get());
   for (Sidecar& sidecar : sidecars_) end(sidecar.process.get(), sidecar.name, 10s);
+  tell(servers_.get());
   end(servers_.get(), "the servers", 5s);
   for (const Sidecar& sidecar : sidecars_) {
     PlaceLog place;
--- /dev/null
+++ b/tests/fleet/fleet_test.cpp
@@ -0,0 +1,623 @@
+// Agents against the stand-in service in one loop, each part of the bed by itself, and the tool's fleet
+// commands. Runs of several processes are tests of their own, by umberdyke_lab.
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <sstream>
+
+#include "agent/agent.h"
+#include "agent/console_client.h"
+#include "config/agent_file.h"
+#include "console/console.h"
+#include "ctl/command.h"
+#include "files/files.h"
+#include "fleet/records.h"
+#include "lab/common/process.h"
+#include "lab/coordinator/control.h"
+#include "lab/coordinator/ensemble.h"
+#include "lab/fleet/evidence.h"
+#include "lab/fleet/many.h"
+#include "lab/fleet/plan.h"
+#include "lab/fleet/relay.h"
+#include "log/log.h"
+
+namespace umberdyke {
+namespace {
+
+using namespace std::chrono_literals;
+using lab::Ensemble;
+using net::Clock;
+using nodes::NodeClient;
+using nodes::Op;
+
+// --- The client and the stand-in service ---
+
+struct Hand {
+  Hand(net::Loop& l, Ensemble& ensemble, std::chrono::milliseconds session = 2000ms)
+      : loop(l),
+        client(l, {ensemble.addresses(), "", session, ""},
+               {[this](nodes::Session s) { last = s; },
+                [this](nodes::Notice n, const std::string& path) { notices.emplace_back(n, path); }}) {
+    client.Start();
+    loop.RunUntil([&] { return client.connected(); }, 5s);
+  }
+  int Multi(const std::vector<Op>& ops) {
+    std::optional<int> rc;
+    client.Multi(ops, [&](int r, const std::vector<int>& e) {
+      rc = r;
+      each = e;
+    });
+    loop.RunUntil([&] { return rc.has_value(); }, 5s);
+    return rc.value_or(-1000);
+  }
+  std::string Sequential(const std::string& prefix) {
+    std::optional<std::string> path;
+    client.CreateSequential(prefix, "d",
+                            [&](int rc, const std::string& p) { path = rc == 0 ? p : std::to_string(rc); });
+    loop.RunUntil([&] { return path.has_value(); }, 5s);
+    return path.value_or("no answer");
+  }
+  int Exists(const std::string& path, bool watch, nodes::NodeStat* stat = nullptr) {
+    std::optional<int> rc;
+    client.Exists(path, watch, [&](int r, const nodes::NodeStat& s) {
+      if (stat != nullptr) *stat = s;
+      rc = r;
+    });
+    loop.RunUntil([&] { return rc.has_value(); }, 5s);
+    return rc.value_or(-1000);
+  }
+  std::string Read(const std::string& path) {
+    std::optional<std::string> text;
+    client.Read(
+        path, [&](int rc, const std::string& data, const nodes::NodeStat&) { text = rc == 0 ? data : "-"; });
+    loop.RunUntil([&] { return text.has_value(); }, 5s);
+    return text.value_or("no answer");
+  }
+  bool Noticed(nodes::Notice notice, const std::string& path) {
+    const std::pair wanted(notice, path);
+    return loop.RunUntil([&] { return std::find(notices.begin(), notices.end(), wanted) != notices.end(); },
+                         5s);
+  }
+  net::Loop& loop;
+  std::optional<nodes::Session> last;
+  std::vector<int> each;
+  std::vector<std::pair<nodes::Notice, std::string>> notices;
+  NodeClient client;
+};
+
+struct Service {
+  explicit Service(const std::vector<std::string>& paths = {"/f"}) {
+    for (const std::string& path : paths) Make(path);
+  }
+  void Make(const std::string& path, const std::string& data = "") {
+    lab::Control::Do(ensemble, "create " + path + " " + data);
+  }
+  std::string Do(const std::string& command) { return lab::Control::Do(ensemble, command); }
+  net::Loop loop;
+  Ensemble ensemble{loop, std::vector<std::string>(3, "127.0.0.1:0")};
+};
+
+TEST_CASE("several writes are done together or not at all, and a check guards them", "[fleet]") {
+  Service service;
+  Hand hand(service.loop, service.ensemble);
+  const std::string claim = hand.Sequential("/f/c-a-");
+  REQUIRE(claim == "/f/c-a-0000000000");
+  CHECK(hand.Sequential("/f/c-a-") == "/f/c-a-0000000001");
+  const Op check{Op::Kind::kCheck, claim, "", -1};
+  CHECK(hand.Multi({check, {Op::Kind::kCreate, "/f/x", "1", -1}, {Op::Kind::kSet, "/f/x", "2", 0}}) ==
+        nodes::kOk);
+  CHECK(hand.Read("/f/x") == "2");
+  CHECK(hand.Multi({check, {Op::Kind::kSet, "/f/x", "3", 7}}) == nodes::kBadVersion);
+  CHECK(hand.Read("/f/x") == "2");
+  service.Do("delete " + claim);
+  CHECK(hand.Multi({check, {Op::Kind::kSet, "/f/x", "4", -1}}) == nodes::kNoNode);
+  CHECK(hand.Read("/f/x") == "2");
+  CHECK(service.ensemble.count().refused == 1);
+  CHECK(hand.Multi({{Op::Kind::kDelete, "/f/x", "", 1}}) == nodes::kOk);
+  CHECK(hand.Exists("/f/x", true) == nodes::kNoNode);
+  service.Make("/f/x", "again");
+  CHECK(hand.Noticed(nodes::Notice::kCreated, "/f/x"));
+}
+
+TEST_CASE("a lost answer leaves what was committed, and a change of leader the session", "[fleet]") {
+  Service service;
+  Hand hand(service.loop, service.ensemble);
+  const std::int64_t session = hand.client.session_id();
+  service.Do("lose 0");
+  CHECK(hand.Sequential("/f/c-a-") == std::to_string(nodes::kConnectionLost));
+  CHECK(service.Do("children /f") == "ok c-a-0000000000");
+  service.loop.RunUntil([&] { return hand.client.connected(); }, 5s);
+  CHECK(hand.client.session_id() == session);
+  service.Do("leader");
+  service.loop.RunUntil([&] { return !hand.client.connected(); }, 5s);
+  REQUIRE(service.loop.RunUntil([&] { return hand.client.connected(); }, 5s));
+  CHECK(hand.client.session_id() == session);
+  nodes::NodeStat stat;
+  REQUIRE(hand.Sequential("/f/c-a-") == "/f/c-a-0000000001");
+  CHECK(hand.Exists("/f/c-a-0000000001", false, &stat) == nodes::kOk);
+  CHECK(stat.birth >> 32 == 1);  // beyond 2^32
+  service.Do("zxid " + std::to_string(INT64_MAX - 10));
+  REQUIRE(hand.Sequential("/f/c-a-") == "/f/c-a-0000000002");
+  CHECK(hand.Exists("/f/c-a-0000000002", false, &stat) == nodes::kOk);
+  CHECK(stat.birth == INT64_MAX - 9);
+}
+
+TEST_CASE("a member cut off answers reads and pings, and no write; without a majority nobody serves",
+          "[fleet]") {
+  Service service;
+  Hand hand(service.loop, service.ensemble, 600ms);
+  for (int m = 0; m < 3; ++m) service.Do("cut " + std::to_string(m) + " on");
+  CHECK(hand.Read("/f") != "no answer");
+  std::optional<int> rc;
+  hand.client.Multi({{Op::Kind::kCheck, "/f", "", -1}}, [&](int r, const std::vector<int>&) { rc = r; });
+  service.loop.RunUntil([&] { return rc.has_value(); }, 300ms);
+  CHECK_FALSE(rc.has_value());  // which is why an owner confirms itself by a write
+  // The leader lets the session run out though its client hears pings answered.
+  CHECK(service.loop.RunUntil([&] { return service.ensemble.sessions().empty(); }, 5s));
+  for (int m = 0; m < 3; ++m) service.Do("cut " + std::to_string(m) + " off");
+  CHECK(service.loop.RunUntil([&] { return hand.last == nodes::Session::kExpired; }, 5s));
+
+  Hand other(service.loop, service.ensemble, 600ms);
+  service.Do("majority off");
+  CHECK(service.loop.RunUntil([&] { return !other.client.connected(); }, 5s));
+  service.loop.RunUntil([] { return false; }, 1200ms);
+  service.Do("majority on");
+  REQUIRE(service.loop.RunUntil([&] { return other.client.connected(); }, 5s));
+  CHECK(service.ensemble.sessions().size() == 1);  // no session runs out without a leader
+}
+
+// --- Agents ---
+
+config::AgentFile Settings(const Ensemble& ensemble, const std::string& host,
+                           const std::string& console = "") {
+  config::AgentFile file;
+  file.application = "linen-track";
+  file.host = host;
+  file.zone = "east";
+  file.servers = ensemble.addresses();
+  file.path = "/linen-track/fleet";
+  file.session = 600ms;
+  file.margin = 150ms;
+  file.rest = 300ms;
+  file.census_every = 30ms;
+  file.tidy_every = 40ms;
+  file.tidy_after = 200ms;
+  file.hosts = {"host-a", "host-b"};
+  file.registers = {"/linen-track/sidecars"};
+  if (!console.empty()) file.sidecars = {{"front-1", "host-a", "east", "front", console}};
+  return file;
+}
+
+struct Agents {
+  Agents() : service({"/linen-track", "/linen-track/sidecars"}) {}
+  agent::Agent& Start(const std::string& host, const std::string& console = "", agent::Wrong wrong = {}) {
+    all.push_back(std::make_unique<agent::Agent>(service.loop, Settings(service.ensemble, host, console),
+                                                 log::NoLog(), wrong));
+    all.back()->Start();
+    return *all.back();
+  }
+  owner::Journal Journal(const std::string& duty) {
+    const std::string text = service.Do("get " + paths.Journal(duty));
+    const auto read = fleet::ReadJournal(text.starts_with("ok ") ? text.substr(3) : "");
+    return std::get<owner::Journal>(read);
+  }
+  bool Goes(const std::string& duty, owner::Step beyond) {
+    return service.loop.RunUntil([&] { return Journal(duty).step > beyond; }, 10s);
+  }
+  Service service;
+  const fleet::Paths paths{"/linen-track/fleet"};
+  std::vector<std::unique_ptr<agent::Agent>> all;
+};
+
+TEST_CASE("one agent owns a duty, the next takes over where it stopped, and an old wish strikes nobody",
+          "[fleet]") {
+  Agents agents;
+  agents.Start("host-a");
+  REQUIRE(agents.Goes("census", 2));
+  agent::Agent& second = agents.Start("host-b");
+  REQUIRE(agents.service.loop.RunUntil([&] { return second.counters().Of("claim_calls") >= 6; }, 5s));
+  const owner::Term term = agents.Journal("census").term;
+  agents.all[0].reset();  // as when it is killed: its session is left to run out
+  const owner::Step step = agents.Journal("census").step;
+  REQUIRE(agents.Goes("census", step + 1));
+  CHECK(agents.Journal("census").term > term);
+  // A wish for the owner before, and one that cannot be read.
+  for (const std::string& wish : {fleet::PrintResign(term), std::string("{")}) {
+    agents.service.Make(agents.paths.Resign("census"), wish);
+    agents.service.Do("set " + agents.paths.Resign("census") + " " + wish);
+    REQUIRE(agents.Goes("census", agents.Journal("census").step + 2));
+    CHECK(second.counters().Of("resignations") == 0);
+  }
+  const owner::Term now = agents.Journal("census").term;
+  agents.service.Do("set " + agents.paths.Resign("census") + " " + fleet::PrintResign(now));
+  REQUIRE(agents.service.loop.RunUntil([&] { return second.counters().Of("resignations") == 1; }, 5s));
+  REQUIRE(agents.service.loop.RunUntil([&] { return agents.Journal("census").term > now; }, 5s));
+}
+
+TEST_CASE("who is no agent of this application, or bears another's name, does nothing", "[fleet]") {
+  Agents agents;
+  SECTION("another application's path") {
+    agents.service.Make("/linen-track/fleet", fleet::PrintRoot("valet-desk"));
+  }
+  SECTION("a newer form") {
+    agents.service.Make("/linen-track/fleet", R"({"application":"linen-track","format":2})");
+  }
+  SECTION("what cannot be read") { agents.service.Make("/linen-track/fleet", "\xff rubbish"); }
+  agent::Agent& agent = agents.Start("host-a");
+  REQUIRE(agents.service.loop.RunUntil([&] { return agent.counters().Of("fleet_refused") > 0; }, 5s));
+  agents.service.loop.RunUntil([] { return false; }, 200ms);
+  CHECK(agents.service.Do("children /linen-track/fleet") == "ok");
+  CHECK(agent.counters().Of("claim_calls") == 0);
+}
+
+TEST_CASE("of two agents of one name the second waits until the first has gone", "[fleet]") {
+  Agents agents;
+  agents.Start("host-a");
+  REQUIRE(agents.Goes("census", 1));
+  agent::Agent& twin = agents.Start("host-a");
+  REQUIRE(agents.service.loop.RunUntil([&] { return twin.counters().Of("fleet_refused") > 0; }, 5s));
+  CHECK(twin.counters().Of("claim_calls") == 0);
+  agents.all[0].reset();
+  const owner::Step step = agents.Journal("census").step;
+  REQUIRE(agents.Goes("census", step + 1));
+  CHECK(twin.counters().Of("owner_begins.census") == 1);
+}
+
+TEST_CASE("a journal that cannot be read is left as it is, and the other duty goes on", "[fleet]") {
+  Agents agents;
+  agents.Start("host-a");
+  REQUIRE(agents.Goes("census", 1));
+  agents.all.clear();
+  agents.service.Do("set " + agents.paths.Journal("census") + " {\"step\":-1}");
+  agents.service.Make(agents.paths.Agents() + "/leftover", "x");
+  agent::Agent& agent = agents.Start("host-b");
+  REQUIRE(agents.service.loop.RunUntil([&] { return agent.counters().Of("journals_unreadable") > 0; }, 10s));
+  REQUIRE(agents.Goes("tidying", 0));
+  CHECK(agents.service.Do("get " + agents.paths.Journal("census")) == "ok {\"step\":-1}");
+}
+
+TEST_CASE("tidying removes what nobody owns, and never what is alive or was made anew", "[fleet]") {
+  Agents agents;
+  const std::string dead = "/linen-track/sidecars/dead", anew = "/linen-track/sidecars/anew";
+  const std::string touched = "/linen-track/sidecars/touched";
+  for (const std::string& path : {dead, anew, touched}) agents.service.Make(path, "x");
+  Hand live(agents.service.loop, agents.service.ensemble);
+  CHECK(live.Sequential("/linen-track/sidecars/live-") == "/linen-track/sidecars/live-0000000003");
+  agent::Agent& agent = agents.Start("host-a");
+  agents.service.Make("/linen-track/fleet/hosts/host-z", "{}");  // the description has it no longer
+  REQUIRE(agents.service.loop.RunUntil([&] { return agent.counters().Of("tidying_marked") >= 3; }, 10s));
+  // One is made anew in between, by a session, with the version that it had after its mark.
+  agents.service.Do("delete " + anew);
+  std::optional<int> made;
+  live.client.CreateEphemeral(anew, "y", [&](int rc) { made = rc; });
+  agents.service.loop.RunUntil([&] { return made.has_value(); }, 5s);
+  live.client.Set(anew, "y", [](int) {});
+  // Another is written again and again by somebody without a session.
+  bool gone = false;
+  const net::Time end = Clock::now() + 10s;
+  while (!gone && Clock::now() < end) {
+    agents.service.Do("set " + touched + " z");
+    agents.service.loop.RunUntil([] { return false; }, 20ms);
+    gone = agents.service.Do("get " + dead).starts_with("no") &&
+           agents.service.Do("get /linen-track/fleet/hosts/host-z").starts_with("no");
+  }
+  CHECK(gone);
+  agents.service.Do("set " + touched + " z");
+  CHECK(agents.service.Do("get " + anew) == "ok y");
+  CHECK(agents.service.Do("get " + touched) == "ok z");
+  CHECK(agents.service.Do("get /linen-track/sidecars/live-0000000003") == "ok d");
+  CHECK(agents.service.Do("children /linen-track/fleet/agents") == "ok host-a");
+}
+
+// --- Orders at the console ---
+
+struct Place : net::ConsoleOwner {
+  Place(net::Loop& l, std::string application = "linen-track")
+      : loop(l),
+        log(log::NoLog()),
+        console(l, *this, {std::move(application), "front-1", 0}, counters, *log, 8) {
+    console.Listen(*net::ParseAddress("127.0.0.1:0"));
+  }
+  bool ReadyToServe() const override { return true; }
+  std::string_view StateName() const override { return "serving"; }
+  net::Figures CurrentFigures() const override { return {}; }
+  bool SendClientsAway() override { return true; }
+  bool TakeClientsBack() override { return true; }
+  agent::ConsoleAnswer Call(const std::string& request) {
+    agent::ConsoleClient client(loop);
+    std::optional<agent::ConsoleAnswer> answer;
+    client.Call(net::PrintAddress(console.address()), request, 2s,
+                [&](agent::ConsoleAnswer a) { answer = std::move(a); });
+    loop.RunUntil([&] { return answer.has_value(); }, 5s);
+    return answer.value_or(agent::ConsoleAnswer{});
+  }
+  std::string Life() { return agent::ReadLines(Call(net::FleetRequest()).body)["life"]; }
+  net::Loop& loop;
+  net::Counters counters;
+  std::shared_ptr<log::Log> log;
+  net::Console console;
+};
+
+TEST_CASE("orders are taken once, and refused from older owners, for other lives and in bad form",
+          "[fleet]") {
+  net::Loop loop;
+  auto place = std::make_unique<Place>(loop);
+  const std::string life = place->Life();
+  REQUIRE(life.size() == 32);
+  const auto order = [&](std::int64_t term, std::int64_t step, const std::string& of = "linen-track",
+                         const std::string& duty = "census", const std::string& in = "") {
+    return place->Call(net::OrderRequest({duty, of, in.empty() ? life : in, term, step, "note"})).status;
+  };
+  CHECK(order(7, 1) == 200);
+  CHECK(order(7, 1) == 200);
+  CHECK(place->counters.Of("orders_taken") == 1);
+  CHECK(place->counters.Of("orders_repeated") == 1);
+  CHECK(order(9, 2) == 200);
+  CHECK(order(7, 3) == 409);
+  CHECK(place->counters.Of("orders_old_term") == 1);
+  CHECK(order(9, 1) == 409);
+  CHECK(order(9, 3, "valet-desk") == 409);
+  CHECK(order(9, 3, "linen-track", "laundry") == 404);
+  CHECK(order(9, 3, "linen-track", "census", "another") == 412);
+  CHECK(place->Call("GET /v1/fleet/notes/census HTTP/1.1\r\n\r\n").body == "note");
+  CHECK(place->Call("GET /v1/fleet/notes/tidying HTTP/1.1\r\n\r\n").status == 404);
+  const std::string head =
+      "PUT /v1/fleet/orders/census HTTP/1.1\r\nX-Fleet-Application: linen-track\r\nX-Fleet-Life: " + life;
+  for (const char* bad :
+       {"", "\r\nX-Fleet-Term: 9", "\r\nX-Fleet-Step: 4", "\r\nX-Fleet-Term: -9\r\nX-Fleet-Step: 4",
+        "\r\nX-Fleet-Term: 0\r\nX-Fleet-Step: 4", "\r\nX-Fleet-Term: 09\r\nX-Fleet-Step: 4",
+        "\r\nX-Fleet-Term: 9.5\r\nX-Fleet-Step: 4", "\r\nX-Fleet-Term: nine\r\nX-Fleet-Step: 4",
+        "\r\nX-Fleet-Term: 9223372036854775808\r\nX-Fleet-Step: 4",
+        "\r\nX-Fleet-Term: 99999999999999999999999999999999\r\nX-Fleet-Step: 4",
+        "\r\nX-Fleet-Term: 9\r\nX-Fleet-Step: +4"}) {
+    INFO(bad);
+    CHECK(place->Call(head + bad + "\r\nContent-Length: 1\r\n\r\nx").status == 400);
+  }
+  const net::FleetOrder longest{"census", "linen-track", life, 9, 5, std::string(net::kLongestNote + 1, 'x')};
+  CHECK(place->Call(net::OrderRequest(longest)).status == 413);
+  CHECK(place->counters.Of("orders_taken") == 2);
+  CHECK(order(INT64_MAX, 6) == 200);
+  // Straight after a restart nothing is known, and an old owner's order bears an earlier life.
+  place = std::make_unique<Place>(loop);
+  CHECK(order(7, 7) == 412);
+  CHECK(place->counters.Of("orders_other_life") == 1);
+  // In the platform's form there is no application, and nobody orders anything.
+  place = std::make_unique<Place>(loop, "");
+  const std::string none = place->Life();
+  CHECK(place->Call(net::OrderRequest({"census", "linen-track", none, 1, 1, "x"})).status == 409);
+}
+
+TEST_CASE("an old owner that asks a fresh place for its life is stopped by the service", "[fleet]") {
+  Agents agents;
+  auto place = std::make_unique<Place>(agents.service.loop);
+  const std::string console = net::PrintAddress(place->console.address());
+  agent::Agent& old = agents.Start("host-a", console);
+  REQUIRE(agents.Goes("census", 2));
+  const owner::Term term = agents.Journal("census").term;
+  // Its claim goes while its session lives, so that it still believes; another takes over and is taken at the
+  // place.
+  const std::string claims = agents.service.Do("children " + agents.paths.Claims("census"));
+  agents.service.Do("delete " + agents.paths.Claims("census") + "/" + claims.substr(3));
+  agents.Start("host-b", console);
+  REQUIRE(agents.service.loop.RunUntil([&] { return agents.Journal("census").term > term; }, 10s));
+  const owner::Step step = agents.Journal("census").step;
+  REQUIRE(agents.Goes("census", step + 2));
+  CHECK(agent::ReadLines(place->Call(net::FleetRequest()).body)["term.census"] ==
+        std::to_string(agents.Journal("census").term));
+  CHECK(old.counters().Of("owner_ends.census") >= 1);
+}
+
+// --- Records, plans, the judge, relays ---
+
+TEST_CASE("records that are broken are told, and not believed", "[fleet]") {
+  for (const char* bad : {"[]", "{}", "{", "\xff\xfe", R"({"term":-1})"}) {
+    INFO(bad);
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadJournal(bad)));
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadAgent(bad)));
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadHistory(bad)));
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadResign(bad)));
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadCensus(bad)));
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadRoot(bad, "linen-track")));
+  }
+  for (const char* bad : {R"({"step":1})", R"({"step":-1,"committed":true,"term":1,"plan":"","state":""})",
+                          R"({"step":1.5,"committed":true,"term":1,"plan":"","state":""})",
+                          R"({"step":1,"committed":1,"term":1,"plan":"","state":""})",
+                          R"({"step":18446744073709551615,"committed":true,"term":1,"plan":"","state":""})",
+                          R"({"step":1,"committed":true,"term":1,"plan":7,"state":""})"}) {
+    INFO(bad);
+    CHECK(std::holds_alternative<fleet::Unreadable>(fleet::ReadJournal(bad)));
+  }
+  CHECK(std::holds_alternative<fleet::Unreadable>(
+      fleet::ReadJournal(std::string(fleet::kLargestRecord + 1, ' '))));
+  std::vector<fleet::Tenure> history(200, {5, "h", "i", 1, -1});
+  CHECK(std::get<std::vector<fleet::Tenure>>(fleet::ReadHistory(fleet::Print(history))).size() ==
+        fleet::kLongestHistory);
+  fleet::Census census;
+  census.term = census.step = 1;
+  for (int i = 0; i < 3000; ++i) {
+    census.sidecars.push_back(
+        {"sidecar-" + std::to_string(i), "east", "front", "h", "serving", "1", 1, 0, 2, 0});
+  }
+  CHECK(fleet::Print(census, net::kLongestNote).size() <= net::kLongestNote);
+  CHECK(std::holds_alternative<fleet::Census>(fleet::ReadCensus(fleet::Print(census))));
+}
+
+TEST_CASE("plans are drawn alike from one seed, read back, and refused where they make no sense", "[fleet]") {
+  const lab::BedPlan plan = lab::DrawPlan(7, 9);
+  CHECK(plan == lab::DrawPlan(7, 9));
+  CHECK_FALSE(plan == lab::DrawPlan(8, 9));
+  CHECK(std::get<lab::BedPlan>(lab::ReadPlan(lab::Print(plan))) == plan);
+  for (const char* bad :
+       {"", "[]", R"({"faults":[{"kind":"rain"}]})", R"({"faults":[{}]})", R"({"agents":0})",
+        R"({"rate":-1})", R"({"zxid":-5})", R"({"faults":[{"kind":"storm","at_ms":-1}]})"}) {
+    INFO(bad);
+    CHECK(std::holds_alternative<std::string>(lab::ReadPlan(bad)));
+  }
+}
+
+TEST_CASE("a failing plan is cut down to what makes it fail", "[fleet]") {
+  lab::BedPlan plan = lab::DrawPlan(3, 12);
+  plan.faults[4].kind = plan.faults[9].kind = "storm";
+  for (size_t i = 0; i < plan.faults.size(); ++i) {
+    if (i != 4 && i != 9) plan.faults[i].kind = "lag-member";
+  }
+  int asked = 0;
+  const auto fails = [&](const lab::BedPlan& p) {
+    ++asked;
+    return std::count_if(p.faults.begin(), p.faults.end(), [](const auto& f) { return f.kind == "storm"; }) ==
+           2;
+  };
+  CHECK(lab::Shrink(plan, fails, 200).faults.size() == 2);
+  CHECK(asked <= 200);
+}
+
+TEST_CASE("the judge tells what broke, and how often the danger arose", "[fleet]") {
+  lab::PlaceLog place;
+  lab::ReadPlaceLog(R"({"event":"order-taken","duty":"census","term":5,"step":1,"life":"a","us":1}
+{"event":"order-taken","duty":"census","term":9,"step":2,"life":"a","us":2}
+rubbish
+{"event":"order-taken","duty":"census","term":9,"step":1,"life":"b","us":3}
+{"event":"ended","counters":"orders_old_term 2; orders_repeated 1; x 4"})",
+                    &place);
+  lab::Evidence good;
+  good.base = "/f";
+  good.places = {place};
+  CHECK(lab::Judge(good).clean());
+  CHECK(lab::Judge(good).dangers.at("orders_old_term") == 2);
+  const auto broken = [&](lab::TakenOrder order) {
+    lab::Evidence evidence = good;
+    evidence.places[0].taken.push_back(std::move(order));
+    const lab::Verdict verdict = lab::Judge(evidence);
+    return verdict.clean() ? "" : verdict.broken[0].first;
+  };
+  CHECK(broken({"b", "census", 9, 2, 4}) == "");
+  CHECK(broken({"b", "census", 8, 2, 4}) == "older-after-newer");
+  CHECK(broken({"b", "census", 9, 1, 4}) == "twice");
+  CHECK(broken({"b", "tidying", 1, 1, 4}) == "");
+  const auto line = [](const char* what, const std::string& path, std::int64_t zxid,
+                       const std::string& data) {
+    return lab::ServiceLine{what, "/f/duties/d/" + path, data, zxid, 1, zxid};
+  };
+  owner::Journal meant = *owner::Journal().Mean(5, ""), done = *meant.Commit(5, "");
+  owner::Journal skips = *done.Mean(5, "");
+  ++skips.step;
+  lab::Evidence service;
+  service.base = "/f";
+  service.service = {line("created", "claims/c-a-0000000001", 5, ""),
+                     line("set", "journal", 6, fleet::Print(meant)),
+                     line("set", "journal", 7, fleet::Print(done))};
+  CHECK(lab::Judge(service).clean());
+  CHECK(lab::Judge(service).steps == 1);
+  lab::Evidence skipped = service;
+  skipped.service.push_back(line("set", "journal", 8, fleet::Print(skips)));
+  CHECK(lab::Judge(skipped).broken[0].first == "skipped");
+  lab::Evidence late = service;
+  late.service.push_back(line("deleted", "claims/c-a-0000000001", 8, ""));
+  late.service.push_back(line("set", "journal", 9, fleet::Print(*done.Mean(5, ""))));
+  CHECK(lab::Judge(late).broken[0].first == "not-the-owner");
+  lab::Evidence lost = service;
+  lost.asked.lost = 1;
+  CHECK(lab::Judge(lost).broken[0].first == "lost");
+}
+
+TEST_CASE("a relay delivers what it held after its sender has died, and refuses where told", "[fleet]") {
+  net::Loop loop;
+  Place place(loop);
+  lab::Relay relay(loop, "127.0.0.1", net::PrintAddress(place.console.address()));
+  const std::string life = place.Life();
+  relay.Set(lab::Way::kThere, {.held = true, .only = "PUT "});
+  {
+    agent::ConsoleClient client(loop);
+    client.Call(relay.address(), net::OrderRequest({"census", "linen-track", life, 3, 1, "late"}), 2s,
+                [](agent::ConsoleAnswer) {});
+    loop.RunUntil([&] { return relay.bytes_held() > 0; }, 5s);
+  }  // its connection breaks
+  loop.RunUntil([] { return false; }, 100ms);
+  CHECK(place.counters.Of("orders_taken") == 0);
+  relay.Set(lab::Way::kThere, {});
+  CHECK(loop.RunUntil([&] { return place.counters.Of("orders_taken") == 1; }, 5s));
+  relay.Refuse(true);
+  agent::ConsoleClient client(loop);
+  std::optional<int> status;
+  client.Call(relay.address(), net::FleetRequest(), 1s, [&](agent::ConsoleAnswer a) { status = a.status; });
+  loop.RunUntil([&] { return status.has_value(); }, 5s);
+  CHECK(status == 0);
+}
+
+// --- The tool ---
+
+struct Ran {
+  int status;
+  std::string out, errors;
+};
+Ran Ctl(const std::vector<std::string>& arguments) {
+  std::ostringstream out, errors;
+  const int status = ctl::Run(arguments, {out, errors});
+  return {status, out.str(), errors.str()};
+}
+
+TEST_CASE("the tool tells of the fleet, and plainly where it cannot", "[fleet]") {
+  const std::string own = lab::OwnAddress();
+  const std::string folder =
+      (std::filesystem::temp_directory_path() / ("umberdyke-ctl-" + std::to_string(getpid()))).string();
+  std::filesystem::create_directories(folder);
+  const std::string address = own + ":22000";
+  std::string text = files::ReadWhole(UMBERDYKE_SOURCE "/examples/apps/linen-track-fleet.toml", 1 << 20).text;
+  const std::string listed = R"(["127.0.0.1:2181", "127.0.0.1:2182", "127.0.0.1:2183"])";
+  for (size_t at; (at = text.find(listed)) != std::string::npos;) {
+    text.replace(at, listed.size(), "[\"" + address + "\"]");
+  }
+  const std::string file = folder + "/app.toml";
+  REQUIRE(files::WriteWhole(file, text).empty());
+  const Ran nobody = Ctl({"fleet", "status", file, "--patience-ms", "300"});
+  CHECK(nobody.status == 2);
+  CHECK(nobody.errors.find("did not answer within 300 ms") != std::string::npos);
+  CHECK(Ctl({"fleet", "status", UMBERDYKE_SOURCE "/examples/apps/linen-track.toml"}).status == 1);
+
+  const auto start = [&](const std::vector<std::string>& command, const std::string& log) {
+    return std::make_unique<lab::Process>(command, folder + "/" + log);
+  };
+  const auto service =
+      start({UMBERDYKE_LAB, "coordinator", "--listen", address, "--most-seconds", "60"}, "service.log");
+  REQUIRE(Ctl({"config", "write", file, "--host", "front-a", "--out", folder}).status == 0);
+  REQUIRE(Ctl({"config", "write", file, "--host", "front-b", "--out", folder}).status == 0);
+  CHECK(Ctl({"config", "check", folder + "/linen-track.front-a.agent.json"}).status == 0);
+  std::map<std::string, std::unique_ptr<lab::Process>> agents;
+  for (const char* host : {"front-a", "front-b"}) {
+    agents[host] =
+        start({UMBERDYKE_AGENT, "--config", folder + "/linen-track." + host + ".agent.json"}, host);
+  }
+  const auto until = [&](const std::vector<std::string>& command, const std::string& wanted) {
+    const net::Time end = Clock::now() + 30s;
+    Ran ran;
+    do {
+      ran = Ctl(command);
+      if ((ran.out + ran.errors).find(wanted) != std::string::npos) return ran;
+      usleep(50'000);
+    } while (Clock::now() < end);
+    return Ran{-1, ran.out, ran.errors};
+  };
+  const Ran status = until({"fleet", "status", file}, "census: step 1");
+  INFO(status.out << status.errors);
+  REQUIRE(status.status >= 0);
+  const Ran both = until({"fleet", "owner", file, "--duty", "census"}, ", 1 standing by");
+  INFO(both.out << both.errors);
+  REQUIRE(both.status == 0);
+  CHECK(status.out.find("unknown: front-1 on front-a, in 1 censuses in a row") != std::string::npos);
+  CHECK(Ctl({"fleet", "status", file, "--format", "json"}).out.find("\"standing_by\": 1") !=
+        std::string::npos);
+  CHECK(Ctl({"fleet", "owner", file, "--duty", "laundry"}).status == 1);
+  CHECK(Ctl({"fleet", "resign", file, "--duty", "laundry"}).status == 2);
+  const Ran resigned = Ctl({"fleet", "resign", file, "--duty", "census"});
+  INFO(resigned.out << resigned.errors);
+  CHECK(resigned.status == 0);
+  const Ran history = Ctl({"fleet", "history", file, "--duty", "census"});
+  INFO(history.out);
+  CHECK(std::count(history.out.begin(), history.out.end(), '\n') == 3);
+  CHECK(Ctl({"completion", "bash"}).out.find("'fleet resign') words='") != std::string::npos);
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace umberdyke
