Read user and password in one place, and test duties that hang or fail beside one that works

Need: a duty that hangs or always fails harms no other; the reading of the password file stood twice.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -10,7 +10,7 @@
 
 #include "agent/census.h"
 #include "agent/tidying.h"
-#include "files/files.h"
+#include "fleet/view.h"
 
 namespace umberdyke::agent {
 
@@ -39,12 +39,9 @@
   nodes::ClientSettings client;
   client.servers = settings.servers;
   client.session = std::chrono::duration_cast<std::chrono::milliseconds>(settings.session);
-  if (settings.auth_file.empty()) return client;
-  files::ReadResult read = files::ReadWhole(settings.auth_file, 4096);
-  if (!read.error.empty()) throw std::runtime_error("auth_file: " + read.error);
-  while (!read.text.empty() && (read.text.back() == '\n' || read.text.back() == '\r')) read.text.pop_back();
-  if (read.text.find(':') == std::string::npos) throw std::runtime_error("auth_file holds no user:password");
-  client.auth = std::move(read.text);
+  const auto auth = fleet::ReadAuth(settings.auth_file);
+  if (const auto* bad = std::get_if<fleet::Unreadable>(&auth)) throw std::runtime_error(bad->why);
+  client.auth = std::get<std::string>(auth);
   return client;
 }
 
--- a/src/agent/runner.cpp
+++ b/src/agent/runner.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr Span kLongestStep = 10s;   // a duty that says nothing for so long hangs
 constexpr int kFailuresToLeave = 6;  // in a row; then another may try
 constexpr std::int64_t kWrongEach = 3;
 
@@ -318,7 +317,7 @@
   }
   if (!May()) return StepIn(50ms);  // until it is confirmed again, or ends
   if (journal_.committed && Clock::now() < step_due_) return StepIn(step_due_ - Clock::now());
-  hang_.Start(kLongestStep);
+  hang_.Start(parts_.longest_step);
   const auto still = Still();
   duty_->Prepare(journal_, [this, still](std::optional<std::string> plan) {
     if (still()) Mean(std::move(plan));
@@ -364,7 +363,7 @@
 
 void Runner::Do() {
   if (!May()) return StepIn(50ms);
-  hang_.Start(kLongestStep);
+  hang_.Start(parts_.longest_step);
   const auto still = Still();
   const Work work{journal_.term, journal_.step, journal_.plan, journal_.state};
   duty_->Do(
--- a/src/agent/runner.h
+++ b/src/agent/runner.h
@@ -43,6 +43,7 @@
     fleet::Agent agent;
     owner::ClaimSettings claim;
     Wrong wrong;
+    net::Span longest_step = std::chrono::seconds(10);  // a duty that says nothing for so long hangs
   };
   Runner(Parts parts, std::unique_ptr<Duty> duty, net::Span stand_after);
 
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -23,13 +23,9 @@
     nodes::ClientSettings settings;
     settings.servers = service.servers;
     settings.session = 4000ms;
-    if (!service.auth_file.empty()) {
-      files::ReadResult read = files::ReadWhole(service.auth_file, 4096);
-      if (!read.error.empty()) throw Unreadable{read.error};
-      while (!read.text.empty() && (read.text.back() == '\n' || read.text.back() == '\r'))
-        read.text.pop_back();
-      settings.auth = std::move(read.text);
-    }
+    const auto auth = ReadAuth(service.auth_file);
+    if (const auto* bad = std::get_if<Unreadable>(&auth)) throw *bad;
+    settings.auth = std::get<std::string>(auth);
     client_ = std::make_unique<nodes::NodeClient>(
         loop_, settings,
         nodes::NodeClient::Owner{
@@ -166,6 +162,15 @@
 
 }  // namespace
 
+std::variant<std::string, Unreadable> ReadAuth(const std::string& auth_file) {
+  if (auth_file.empty()) return std::string();
+  files::ReadResult read = files::ReadWhole(auth_file, 4096);
+  if (!read.error.empty()) return Unreadable{"auth_file: " + read.error};
+  while (!read.text.empty() && (read.text.back() == '\n' || read.text.back() == '\r')) read.text.pop_back();
+  if (read.text.find(':') == std::string::npos) return Unreadable{"auth_file holds no user:password"};
+  return std::move(read.text);
+}
+
 std::variant<View, Unreadable> Look(const Service& service) {
   try {
     Caller caller(service);
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -17,6 +17,9 @@
   std::chrono::milliseconds patience{5000};  // for all that one call does
 };
 
+// user:password from the file that `auth_file` names; an empty name: none.
+std::variant<std::string, Unreadable> ReadAuth(const std::string& auth_file);
+
 struct Stander {
   std::string name;  // of the claim
   Agent agent;       // empty where its data cannot be read
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -310,6 +310,78 @@
   CHECK(agents.service.Do("children /linen-track/fleet/agents") == "ok host-a");
 }
 
+// A duty that fails or hangs, beside one that works.
+struct Odd : agent::Duty {
+  Odd(std::string n, bool hang, bool work) : own(std::move(n)), hangs(hang), works(work) {}
+  std::string_view name() const override { return own; }
+  net::Span pace() const override { return 20ms; }
+  void Prepare(const owner::Journal&, std::function<void(std::optional<std::string>)> done) override {
+    done("p");
+  }
+  void Do(const agent::Work&, std::function<bool()>, std::function<void(agent::Done)> done) override {
+    ++tried;
+    if (hangs) return;
+    agent::Done result;
+    result.worked = works;
+    result.why = "it never works";
+    done(std::move(result));
+  }
+  void Stop() override { ++stopped; }
+  const std::string own;
+  const bool hangs, works;
+  int tried = 0, stopped = 0;
+};
+
+TEST_CASE("a duty that hangs or fails is backed off and left, and harms no other", "[fleet]") {
+  Service service;
+  const fleet::Paths paths{"/f"};
+  net::Counters counters;
+  const auto log = log::NoLog();
+  std::vector<std::unique_ptr<agent::Runner>> runners;
+  std::vector<Odd*> duties;
+  nodes::NodeClient* raw = nullptr;
+  nodes::NodeClient client(service.loop, {service.ensemble.addresses(), "", 2000ms, ""},
+                           {[&](nodes::Session session) {
+                              if (session != nodes::Session::kConnected) return;
+                              for (auto& r : runners) r->Opened(raw->session_id(), raw->session_time());
+                            },
+                            [&](nodes::Notice n, const std::string& path) {
+                              for (auto& r : runners) r->Noticed(n, path);
+                            }});
+  raw = &client;
+  for (const auto& [name, hangs, works] :
+       {std::tuple("hangs", true, false), std::tuple("fails", false, false),
+        std::tuple("works", false, true)}) {
+    for (const std::string& path :
+         {paths.Duties(), paths.Duty(name), paths.Claims(name), paths.Journal(name), paths.History(name)}) {
+      service.Make(path);
+    }
+    auto duty = std::make_unique<Odd>(name, hangs, works);
+    duties.push_back(duty.get());
+    runners.push_back(std::make_unique<agent::Runner>(
+        agent::Runner::Parts{service.loop,
+                             client,
+                             paths,
+                             counters,
+                             *log,
+                             {"h", "z", "i", "0"},
+                             {.id = "i", .session = 2s, .margin = 500ms, .rest = 60s},
+                             {},
+                             100ms},
+        std::move(duty), 0ms));
+  }
+  client.Start();
+  // Left after six failures in a row, so that another host may try; meanwhile the third goes on at its pace.
+  REQUIRE(service.loop.RunUntil([&] { return counters.Of("owner_ends.fails") > 0; }, 30s));
+  CHECK(duties[1]->tried == 6);
+  REQUIRE(service.loop.RunUntil([&] { return counters.Of("owner_ends.hangs") > 0; }, 30s));
+  CHECK(duties[0]->stopped >= 6);
+  CHECK(duties[2]->tried > 100);
+  CHECK(counters.Of("owner_ends.works") == 0);
+  CHECK(service.Do("children " + paths.Claims("fails")) == "ok");
+  client.Abandon();
+}
+
 // --- Orders at the console ---
 
 struct Place : net::ConsoleOwner {
