End a caller's time with its connection, at the console and at the edge

A connection that ends is buried until the loop's next turn; its timer went on, and where it was due in that very turn, before the burial, Late told the owner a second time (console.cpp, Leave; edge_connection.cpp, OnGone: Close ended the stream and not the timer). Change: Close ends both. The test closes a caller in the turn in which its 400 ms are over.

--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -24,7 +24,11 @@
     patience_.Start(kSlowest);
     return true;
   }
-  void Close() { stream_.Close(); }
+  // Its time ends with it: what is buried lives on until the loop has run the timers that are due.
+  void Close() {
+    patience_.Stop();
+    stream_.Close();
+  }
   bool answered() const { return answered_; }
 
  private:
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -56,7 +56,11 @@
 
   // Closes between requests: now, or after the answer that is due.
   void CloseWhenIdle();
-  void Close() { stream_.Close(); }
+  // Its time ends with it: what is buried lives on until the loop has run the timers that are due.
+  void Close() {
+    patience_.Stop();
+    stream_.Close();
+  }
   bool idle() const { return state_ == State::kReading && !parser_.begun() && input_.empty(); }
   // Idle after an answer, so that it may be closed at no cost but a connect.
   bool spare() const { return answered_ && idle(); }
--- a/tests/console/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -1,4 +1,7 @@
 // The second address on real sockets: its calls, its bounds, the figures, and sending clients away.
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <map>
 #include <sstream>
@@ -114,6 +117,29 @@
   CHECK(Clock::now() - start < 4s);
 }
 
+// Guards against a caller that leaves in the turn of the loop in which its time ends as well: found by the bed, with
+// links that held an answer for as long as a caller may linger.
+TEST_CASE("a caller that leaves as its time ends leaves once", "[console]") {
+  ConsoleSite site;
+  const Address console = site.sidecar->console_address();
+  for (int i = 0; i < 3; ++i) {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&console), sizeof(sockaddr_in)) == 0);
+    const std::string call = "GET /v1/readyz HTTP/1.1\r\n\r\n";
+    REQUIRE(write(fd, call.data(), call.size()) == static_cast<ssize_t>(call.size()));
+    bool closed = false;
+    Timer late(site.loop, [&] {
+      close(fd);
+      usleep(30'000);  // its end is read now, and the 400 ms that it may linger are over
+      closed = true;
+    });
+    late.Start(385ms);
+    REQUIRE(site.Until([&] { return closed; }));
+    site.loop.RunUntil([] { return false; }, 50ms);
+  }
+  CHECK(site.sidecar->counters().Of("invariant_broken") == 0);
+}
+
 // Guards against figures that miss or double a request, however it ends.
 TEST_CASE("every request is counted once, under its class and how it ended", "[console]") {
   ConsoleSite site;
