--- a/tests/console/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -117,8 +117,8 @@
   CHECK(Clock::now() - start < 4s);
 }
 
-// Guards against a caller that leaves in the turn of the loop in which its time ends as well: found by the bed, with
-// links that held an answer for as long as a caller may linger.
+// Guards against a caller that leaves in the turn of the loop in which its time ends as well: found by the
+// bed, with links that held an answer for as long as a caller may linger.
 TEST_CASE("a caller that leaves as its time ends leaves once", "[console]") {
   ConsoleSite site;
   const Address console = site.sidecar->console_address();
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -927,8 +927,9 @@
   EXPECT_LE(d.outs.size(), 20u) << "a crowd is still none of its business";
 }
 
-// A crowd that comes by chance to one copy of many is made up for by the others; at two copies it is half of a
-// crowd at the servers, and in a jam it keeps the jam going. Guards against the day that tips once a server hangs.
+// A crowd that comes by chance to one copy of many is made up for by the others; at two copies it is half
+// of a crowd at the servers, and in a jam it keeps the jam going. Guards against the day that tips once a
+// server hangs.
 TEST(AdmissionTest, InAJamACopyOfFewLetsNoChanceCrowdIn) {
   const auto let_in = [](int balancers) {
     Settings s = BasicSettings();
