Let the test of a caller's end meet the danger: its end read and its time over in one turn

Need: the test passed without its guard, as the timer came first. The end is now read and the turn goes on past the caller's time; without the guard it counts three broken invariants, with it none.

--- a/tests/console/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -127,15 +127,23 @@
     REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&console), sizeof(sockaddr_in)) == 0);
     const std::string call = "GET /v1/readyz HTTP/1.1\r\n\r\n";
     REQUIRE(write(fd, call.data(), call.size()) == static_cast<ssize_t>(call.size()));
-    bool closed = false;
+    // Its end is read at 385 ms, and the same turn of the loop goes on past the 400 ms that it may linger.
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    bool slept = false;
+    const Readable slow(site.loop, ends[0], [&] {
+      char byte;
+      if (read(ends[0], &byte, 1) == 1) usleep(30'000);
+      slept = true;
+    });
     Timer late(site.loop, [&] {
       close(fd);
-      usleep(30'000);  // its end is read now, and the 400 ms that it may linger are over
-      closed = true;
+      CHECK(write(ends[1], "x", 1) == 1);
     });
     late.Start(385ms);
-    REQUIRE(site.Until([&] { return closed; }));
+    REQUIRE(site.Until([&] { return slept; }));
     site.loop.RunUntil([] { return false; }, 50ms);
+    close(ends[1]);
   }
   CHECK(site.sidecar->counters().Of("invariant_broken") == 0);
 }
