--- a/src/lab/fleet/bed.cpp
+++ b/src/lab/fleet/bed.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "lab/fleet/clients.h"
@@ -134,10 +135,16 @@
     Later(std::chrono::milliseconds(fault.for_ms), [relays, fault] { Set(relays, Ways(fault), {}); });
   }
 
+  // Once it has ended; whoever struck it first has it started again.
   void RestartAgent(int i, Span after) {
+    if (!restarting_.insert(i).second) return;
+    AwaitEnd(i, after);
+  }
+  void AwaitEnd(int i, Span after) {
     Later(after, [this, i] {
-      if (world_.agent(i)->Ended()) return world_.StartAgent(i);
-      RestartAgent(i, 50ms);
+      if (!world_.agent(i)->Ended()) return AwaitEnd(i, 50ms);
+      restarting_.erase(i);
+      world_.StartAgent(i);
     });
   }
 
@@ -250,6 +257,7 @@
   Clients clients_;
   std::vector<std::unique_ptr<net::Timer>> tasks_;
   std::map<int, bool> killed_;
+  std::set<int> restarting_;
   std::vector<std::string> troubles_;
   int open_ = 0;
   bool settled_ = false;
