Take out what the bed, the explorer and tidying no longer use

Need: a second reading of the change found arguments, a timer, a field and an event that nothing uses, a console that was a stream's user for nothing, and a call wrapped for its own sake. Behaviour stays; no file of the sidecar's rooms is touched. Seen: the 23 tests of agents, owner, explorer, plans and judge pass in the release build; not run: the sanitized build.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -101,7 +101,7 @@
                                  std::move(duty), after));
   };
   add(std::make_unique<CensusDuty>(loop_, settings_, paths_, counters_));
-  add(std::make_unique<TidyingDuty>(loop_, client_, settings_, paths_, duties, counters_));
+  add(std::make_unique<TidyingDuty>(client_, settings_, paths_, duties, counters_));
 }
 
 Agent::~Agent() { client_.Abandon(); }
--- a/src/agent/tidying.cpp
+++ b/src/agent/tidying.cpp
@@ -28,7 +28,7 @@
   }
 };
 
-TidyingDuty::TidyingDuty(net::Loop& /*loop*/, nodes::NodeClient& client, const config::AgentFile& settings,
+TidyingDuty::TidyingDuty(nodes::NodeClient& client, const config::AgentFile& settings,
                          const fleet::Paths& paths, std::vector<std::string> duties, net::Counters& counters)
     : client_(client), settings_(settings), paths_(paths), duties_(std::move(duties)), counters_(counters) {}
 
--- a/src/agent/tidying.h
+++ b/src/agent/tidying.h
@@ -22,8 +22,8 @@
 
 class TidyingDuty : public Duty {
  public:
-  TidyingDuty(net::Loop& loop, nodes::NodeClient& client, const config::AgentFile& settings,
-              const fleet::Paths& paths, std::vector<std::string> duties, net::Counters& counters);
+  TidyingDuty(nodes::NodeClient& client, const config::AgentFile& settings, const fleet::Paths& paths,
+              std::vector<std::string> duties, net::Counters& counters);
 
   std::string_view name() const override { return "tidying"; }
   net::Span pace() const override { return settings_.tidy_every; }
--- a/src/lab/explore/explore.cpp
+++ b/src/lab/explore/explore.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <deque>
 #include <optional>
-#include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
@@ -31,7 +30,6 @@
 struct Node {
   std::string name;
   Term created = 0;
-  int candidate = 0;
   owner::Session session = 0;
 };
 
@@ -448,7 +446,6 @@
         std::string number = std::to_string(w.number++);
         node.name = m.action.name + std::string(10 - number.size(), '0') + number;
         node.created = ++w.zxid;
-        node.candidate = static_cast<int>(i);
         node.session = c.session;
         w.nodes.push_back(std::move(node));
         break;
--- a/src/lab/fleet/bed.cpp
+++ b/src/lab/fleet/bed.cpp
@@ -154,12 +154,9 @@
       if (*world_.sidecar(i)->Ended() != 0 && !killed_[i]) troubles_.push_back("a sidecar ended in trouble");
       killed_[i] = false;
       world_.StartSidecar(i);
-      AwaitSidecar(i);
+      clients_.Back(i);  // its clients knock from now on
     });
   }
-  void AwaitSidecar(int i) {
-    clients_.Back(i);  // its clients knock from now on
-  }
 
   void Strike(const BedFault& fault) {
     ++report_.faults[fault.kind];
@@ -208,11 +205,12 @@
     } else if (kind == "cut-sidecar") {
       Refuse(world_.SidecarToService(std::max(0, fault.who) % world_.sidecars()), time);
     } else {
-      Service(fault, kind, who, duty, time);
+      Service(fault, duty, time);
     }
   }
 
-  void Service(const BedFault& fault, const std::string& kind, int who, const std::string& duty, Span time) {
+  void Service(const BedFault& fault, const std::string& duty, Span time) {
+    const std::string& kind = fault.kind;
     const std::string member = std::to_string(std::max(0, fault.who) % plan_.members);
     const auto say = [this](const std::string& now, const std::string& then, Span after) {
       world_.control().Say(now);
@@ -246,7 +244,6 @@
         say("set " + wish + " " + data, "", {});
       }
     }
-    (void)who;
   }
 
   const BedPlan plan_;
--- a/src/lab/fleet/evidence.cpp
+++ b/src/lab/fleet/evidence.cpp
@@ -194,7 +194,6 @@
                               line.value("us", std::int64_t{0})});
     }
     if (event == "ended") ReadCounts(line.value("counters", ""), &place->counts);
-    if (event == "console-lines") ReadCounts(line.value("lines", ""), &place->counts);
   });
 }
 
--- a/src/lab/fleet/measure.cpp
+++ b/src/lab/fleet/measure.cpp
@@ -77,7 +77,6 @@
   };
   std::map<std::string, std::vector<double>> all;
   std::mt19937_64 random(1);
-  net::Timer turn(loop, [] {});
   const std::vector<std::string> kinds = {"killed", "stopped", "resigned"};
   for (int i = 0; i < measure.count; ++i) {
     const std::string kind = kinds[static_cast<size_t>(i) % kinds.size()];
--- a/src/lab/fleet/stand_ins.cpp
+++ b/src/lab/fleet/stand_ins.cpp
@@ -46,7 +46,7 @@
 namespace {
 
 // Just enough of a console to be asked by a census.
-class Unfenced : public net::StreamUser {
+class Unfenced {
  public:
   Unfenced(net::Loop& loop, std::string name, log::Log& log)
       : loop_(loop), name_(std::move(name)), log_(log), listener_(loop, [this] { Come(); }) {}
@@ -67,8 +67,6 @@
     net::Stream stream;
     net::HttpParser parser{net::HttpParser::Kind::kRequest};
   };
-  void OnData(std::string_view) override {}
-  void OnEnd() override {}
   void Come() {
     auto caller = std::make_unique<Caller>(*this);
     if (!caller->stream.Accept(listener_.raw())) return;
