--- a/src/lab/fleet/evidence.h
+++ b/src/lab/fleet/evidence.h
@@ -21,8 +21,7 @@
 struct PlaceLog {
   std::string name;
   std::vector<TakenOrder> taken;
-  // Counted by lives that ended in peace or were asked at the end: refused or repeated orders and broken
-  // invariants.
+  // Counted by lives that ended in peace: refused or repeated orders and broken invariants.
   std::map<std::string, std::uint64_t> counts;
 };
 // Adds what a log of one life says.
