Tell a reset right behind an answer's bytes from the end of that answer

Cause: libuv's stream reading takes POLLHUP behind a partial read for an end (uv__stream_io) and tells UV_EOF, also where the connection was reset; Stream::Read believed it (ended_well), and an answer without a length, cut by the reset, was whole.

Change: at UV_EOF the socket is asked once more: nothing more after an end, an error after a reset. The loop also gets a clock that tests move on (Loop::Pass, Settle), for the crossings that follow; no test uses it yet.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
@@ -26,6 +27,15 @@
   std::string bytes;
 };
 
+// Guards against a reset that passes for an end: where one arrives behind bytes that are read in the same turn,
+// libuv tells an end for it. The socket knows: it gives nothing more after an end, and an error after a reset.
+bool EndedWell(const uv_stream_t* stream) {
+  uv_os_fd_t fd = -1;
+  char byte = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(stream), &fd) != 0) return false;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 // Rounded up: a timer that fires early would be taken for one that fired on time.
 std::uint64_t WholeMillis(Span span) {
   const auto millis = std::chrono::ceil<std::chrono::milliseconds>(span).count();
@@ -60,6 +70,32 @@
   return done();
 }
 
+void Loop::Settle() {
+  // A message from one party to another and its answer take a turn each; what is posted takes none.
+  for (int turn = 0; turn < 6; ++turn) uv_run(&loop_, UV_RUN_NOWAIT);
+}
+
+void Loop::Pass(Span time) {
+  constexpr Span kStep = std::chrono::milliseconds(10);
+  while (time > Span::zero()) {
+    const Span step = std::min(time, kStep);
+    time -= step;
+    Clock::ahead += step;
+    uv_update_time(&loop_);
+    const auto nearer = [](uv_handle_t* handle, void* by) {
+      if (uv_handle_get_type(handle) != UV_TIMER || uv_is_active(handle) == 0) return;
+      auto* timer = reinterpret_cast<uv_timer_t*>(handle);
+      const std::uint64_t left = uv_timer_get_due_in(timer);
+      const auto passed = static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(*static_cast<Span*>(by)).count());
+      uv_timer_start(timer, timer->timer_cb, left > passed ? left - passed : 0, 0);
+    };
+    Span by = step;
+    uv_walk(&loop_, nearer, &by);
+    Settle();
+  }
+}
+
 void Loop::RunPosted() {
   while (!posted_.empty()) {
     std::vector<Task> tasks;
@@ -189,7 +225,7 @@
         if (user == nullptr || count == 0) return;
         if (count < 0) {
           uv_read_stop(s);
-          static_cast<Handle*>(s->data)->ended_well = count == UV_EOF;
+          static_cast<Handle*>(s->data)->ended_well = count == UV_EOF && EndedWell(s);
           user->OnEnd();
         } else {
           user->OnData({buffer->base, static_cast<size_t>(count)});
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -16,7 +16,16 @@
 
 namespace umberdyke::net {
 
-using Clock = std::chrono::steady_clock;
+// The machine's steady clock, further ahead by what a test has let pass (Loop::Pass).
+struct Clock {
+  using duration = std::chrono::steady_clock::duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::steady_clock::time_point;
+  static constexpr bool is_steady = true;
+  static time_point now() noexcept { return std::chrono::steady_clock::now() + ahead; }
+  static inline duration ahead{};
+};
 using Time = Clock::time_point;
 using Span = Clock::duration;
 // On the same clock, for logs of several processes of one machine.
@@ -36,6 +45,11 @@
   void Stop() { uv_stop(&loop_); }
   // Runs until `done` holds or `most` has passed; says whether it holds. For tests and tools.
   bool RunUntil(const std::function<bool()>& done, Span most);
+  // For tests, whose clock it is: lets so much time pass for this loop's timers and the process's clock without
+  // waiting, in small steps, after each of which all that can be read or written is.
+  void Pass(Span time);
+  // Runs what is ready, without waiting and without time passing.
+  void Settle();
   // Runs `task` before the loop next waits, never from inside this call; not at all once `guard` is gone.
   void Post(std::weak_ptr<void> guard, std::function<void()> task) {
     posted_.push_back({std::move(guard), std::move(task)});
