Answer all that was taken before a process's end is forced, and close only what owes nothing

Ruled out: the exit itself; it came after the last flow.

Cause: kill_at_ was set in Sidecar::End and read nowhere. A flow kept its client's deadline, which lies behind the forced end where the attempt can't be called off or cut: at hung servers, for unsafe classes, for late answers that still earn.

Change: at the notice Admit gets the moment by which all is answered, 0.2 s before the forced end; the last call of every flow, open or yet to come, is no later. One end of a connection (EdgeConnection::Linger), for a close at rest as for one behind an answer: the other side hears of it first and what crosses goes nowhere. Found on the way by reading every path that ends, and mended with it: - Finish dropped requests read behind the one in flight (input_.clear()): a process that ends now answers them first, and says close with the last. - CloseEdges closed the listener over connections that the machine had accepted: they are taken first. - Under pressure and at a silent client's end, a connection with unread bytes was closed: it is read first. - The clients' line ends behind a body passed for a next request.

--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -78,9 +78,12 @@
     } else if (!had_begun && parser_.begun() && answered_) {
       patience_.Start(kSlowest);
     }
+    if (rests_no_more_ && idle() && stream_.Quiet()) Linger(kLinger);
     return;
   }
+  input_.erase(0, std::min(input_.find_first_not_of("\r\n"), input_.size()));  // belongs to no request
   patience_.Stop();
+  waited_ = false;
   state_ = State::kBusy;
   if (parsed == Parsed::kComplete) {
     owner_.OnRequest(*this, parser_.Take());
@@ -118,7 +121,7 @@
   if (!first) return owner_.OnBody(*this);
   const bool wants_continue = head.Find("Expect") != nullptr;
   owner_.OnLongRequest(*this, std::move(head));
-  if (wants_continue && state_ == State::kTaking) Continue();
+  if (wants_continue && state_ == State::kTaking && stream_.open()) Continue();
 }
 
 // What comes puts the end of patience off, by the time that the slowest may take for it.
@@ -218,25 +221,30 @@
   EndPassing();
   ending_ = continued_ = body_whole_ = false;
   body_.clear();
-  if (closing_) {
-    state_ = State::kLingering;
-    input_.clear();
-    stream_.EndSending();
-    patience_.Start(unwanted ? kLingerLong : kLinger);
-    return;
-  }
+  if (closing_) return Linger(unwanted ? kLingerLong : kLinger);
   state_ = State::kReading;
   if (!input_.empty()) {
     loop_.Post(alive_, [this] { Advance(); });
+  } else if (rests_no_more_ && stream_.Quiet()) {
+    Linger(kLinger);
   } else {
     owner_.OnRested();
   }
 }
 
+// The end of a connection that owes nothing: the other side hears of it and closes. What still comes crosses
+// the end, is read so that no reset takes the last answer along, and goes nowhere.
+void EdgeConnection::Linger(Span most) {
+  state_ = State::kLingering;
+  input_.clear();
+  stream_.EndSending();
+  patience_.Start(most);
+}
+
 // After a stall the loop's timers run before it reads: what looks idle may hold a request.
 void EdgeConnection::CloseWhenIdle() {
-  if (idle() && stream_.Quiet()) return owner_.OnGone(*this);
-  closing_ = true;
+  rests_no_more_ = true;
+  if (idle() && stream_.Quiet()) Linger(kLinger);
 }
 
 void EdgeConnection::Late() {
@@ -247,6 +255,8 @@
     return patience_.Start(kLongestWrite);  // slowly, but it reads
   }
   if (state_ != State::kReading && state_ != State::kTaking) return;
+  // The loop's timers run before it reads: what waits there is looked at first, once.
+  if (!stream_.Quiet() && !std::exchange(waited_, true)) return patience_.Start(0ms);
   if (idle()) return owner_.OnGone(*this);  // it never asked for anything
   if (state_ == State::kReading) state_ = State::kBusy;
   closing_ = true;
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -54,8 +54,12 @@
   bool body_received() const { return body_whole_; }
   bool body_whole() const { return body_whole_ && body_.empty(); }  // and taken
 
-  // Closes between requests: now, or after the answer that is due.
+  // Closes between requests: now, or once all that has come is answered.
   void CloseWhenIdle();
+  // More has come than the request that is out.
+  bool HasMore() const { return stream_.open() && (!input_.empty() || !stream_.Quiet()); }
+  // THE word on whether its client has gone, also where that stands behind bytes that nobody has read.
+  bool Left() const { return !stream_.open() || stream_.HungUp(); }
   // Its time ends with it: what is buried lives on until the loop has run the timers that are due.
   void Close() {
     patience_.Stop();
@@ -64,8 +68,10 @@
   bool idle() const { return state_ == State::kReading && !parser_.begun() && input_.empty(); }
   // Idle after an answer, so that it may be closed at no cost but a connect.
   bool spare() const { return answered_ && idle(); }
+  bool Quiet() const { return stream_.Quiet(); }  // and nothing of a next request waits unread
   // Has brought no whole request though it had the time for it: the first to be closed under pressure.
   bool silent() const;
+  bool lingers() const { return state_ == State::kLingering; }  // has ended, and waits for the other side
   bool began() const { return answered_ || parser_.begun(); }
   Time rested() const { return rested_; }  // since when nothing has come from it
   std::uint64_t flow = 0;                  // the owner's note of the request that is out
@@ -82,6 +88,7 @@
   void Continue();
   void EndPassing();
   void Finish();
+  void Linger(Span most);
   void Late();
   bool Write(std::string bytes);
 
@@ -101,7 +108,9 @@
   bool continued_ = false;
   Framing framing_;
   size_t unwritten_ = 0;  // when it was last looked at
-  bool closing_ = false;
+  bool closing_ = false;       // with the answer that is due
+  bool rests_no_more_ = false;  // and as soon as it has nothing to answer
+  bool waited_ = false;        // its time was up while bytes waited unread
   bool answered_ = false;
   Time rested_ = Clock::now();
   Time slowest_{};  // for the rest of the request's body
--- a/src/flow/admit.cpp
+++ b/src/flow/admit.cpp
@@ -34,7 +34,19 @@
   flow.taking = false;
   flow.taken = Clock::now();
   flow.deadline = flow.taken + flow.request.time_left - kTransit;
-  flow.last_call->Start(std::max<Span>(flow.deadline - kLastCall - flow.taken, 0ms));
+  Arm(flow);
+}
+
+void Admit::Arm(Flow& flow) const {
+  flow.deadline = std::min(flow.deadline, end_);
+  flow.last_call->Start(std::max<Span>(flow.deadline - kLastCall - Clock::now(), 0ms));
+}
+
+void Admit::AnswerAllBy(Time end) {
+  end_ = end;
+  flows_.ForEach([this](Flow& flow) {
+    if (!flow.taking && flow.state != Flow::State::kAnswered) Arm(flow);
+  });
 }
 
 }  // namespace umberdyke::net
--- a/src/flow/admit.h
+++ b/src/flow/admit.h
@@ -23,12 +23,17 @@
   // Null where another open flow has the request's id: that one is answered here.
   Flow* operator()(EdgeConnection& edge, FlowRequest request) const;
   void Taken(Flow& flow) const;
+  // The process ends: whatever is open, or comes yet, has its answer before this.
+  void AnswerAllBy(Time end);
 
  private:
   Loop& loop_;
   FlowTable& flows_;
   Counters& counters_;
+  void Arm(Flow& flow) const;
+
   const LastCall last_call_;
+  Time end_ = Time::max();
   const Refused refused_;
 };
 
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -61,6 +61,10 @@
     ids_.erase(node.mapped()->request.id);
     return std::move(node.mapped());
   }
+  template <typename Visit>
+  void ForEach(Visit visit) {
+    for (auto& [id, flow] : flows_) visit(*flow);
+  }
   size_t size() const { return flows_.size(); }
   // Those whose request has come whole.
   size_t taken() const {
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -1,6 +1,9 @@
 #include "loop/loop.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -264,6 +267,13 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::HungUp() const {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return false;
+  pollfd asked{fd, POLLRDHUP, 0};
+  return poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 size_t Stream::unwritten() const {
   return handle_ == nullptr
              ? 0
@@ -302,6 +312,14 @@
   handle_ = nullptr;
 }
 
+void Stream::Abort() {
+  uv_os_fd_t fd = -1;
+  int held_back = 0;
+  const bool open = handle_ != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0;
+  if (open && ioctl(fd, SIOCOUTQ, &held_back) == 0 && held_back > 0) return Reset();
+  Close();
+}
+
 Listener::Listener(Loop& loop, std::function<void()> come)
     : loop_(loop), handle_(new Handle{{}, std::move(come)}) {
   uv_tcp_init(loop.raw(), &handle_->uv);
@@ -338,6 +356,11 @@
   return status == 0 ? std::string() : uv_strerror(status);
 }
 
+bool Listener::Waiting() const {
+  pollfd asked{fd(), POLLIN, 0};
+  return asked.fd >= 0 && poll(&asked, 1, 0) > 0 && (asked.revents & POLLIN) != 0;
+}
+
 void Listener::Renew() {
   auto come = std::move(handle_->come);
   Close();
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -171,7 +171,11 @@
   void Reset();
   // Nothing waits to be read, and the other side has not closed.
   bool Quiet() const;
+  // The other side has closed or the connection is broken, also where bytes wait to be read before that.
+  bool HungUp() const;
   void Close();
+  // Closes, and what was written and has not reached the other side yet never does.
+  void Abort();
   bool open() const { return handle_ != nullptr; }
 
  private:
@@ -197,6 +201,7 @@
   static bool SaysTaken(const std::string& error);  // another holds the address
   // Listens on a socket that does so already; owns it from now on.
   std::string Adopt(int fd);
+  bool Waiting() const;  // somebody is in the kernel's queue
   // A fresh socket after one that could not listen.
   void Renew();
   int fd() const;
--- a/src/sidecar/limits.cpp
+++ b/src/sidecar/limits.cpp
@@ -38,6 +38,8 @@
   return std::max<Span>(KillTime(settings) - useful - kToSpare, kServeOnAtLeast);
 }
 
+Span AnswerTime(const Settings& settings) { return KillTime(settings) - kToSpare; }
+
 int MostCallers(const Config& config) {
   return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers);
 }
--- a/src/sidecar/limits.h
+++ b/src/sidecar/limits.h
@@ -11,6 +11,8 @@
 
 // From the notice to the end that an operator forces.
 Span KillTime(const Settings& settings);
+// By when, after the notice, all that was taken has its answer.
+Span AnswerTime(const Settings& settings);
 // For how long after it requests are taken.
 Span ServeOn(const Settings& settings);
 // At the console, at once.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include "sidecar/limits.h"
@@ -23,6 +24,7 @@
 constexpr Span kListWait = 1500ms;  // a process that takes over serves once discovery has told, or after this
 constexpr Span kListenAgain = 50ms;  // while another's process holds the address
 constexpr Span kIdleSweep = 100ms;
+constexpr Span kLastAccepts = 5ms;  // while connections still wait at an end
 constexpr Span kStillIdle = 300ms;
 
 }  // namespace
@@ -62,6 +64,7 @@
       begin_timer_(loop, [this] { BeginServing(); }),
       accept_timer_(loop, [this] { OnRested(); }),
       close_timer_(loop, [this] { CloseEdges(); }),
+      listener_timer_(loop, [this] { StopListening(); }),
       idle_timer_(loop, [this] { CloseIdleEdges(); }),
       tick_(loop, [this] { Tick(); }) {
   if (config_.console) {
@@ -193,21 +196,26 @@
     return;
   }
   counters_.Add("edges_accepted");
-  edges_.emplace(edge.get(), std::move(edge));
+  EdgeConnection& taken = *edges_.emplace(edge.get(), std::move(edge)).first->first;
+  if (closing_) taken.CloseWhenIdle();
 }
 
 // Guards the usual clients against those that open connections by the hundred and send nothing: these go
 // first.
 bool Sidecar::ShedOldestEdge() {
-  EdgeConnection* oldest = nullptr;
+  std::vector<EdgeConnection*> idle;
   for (const auto& [edge, owned] : edges_) {
-    if (!edge->spare() && !edge->silent()) continue;
-    const auto rank = [](const EdgeConnection& e) { return std::pair(e.began(), e.rested()); };
-    if (oldest == nullptr || rank(*edge) < rank(*oldest)) oldest = edge;
+    if (edge->spare() || edge->silent() || edge->lingers()) idle.push_back(edge);
   }
-  if (oldest == nullptr) return false;
+  const auto rank = [](const EdgeConnection* e) {
+    return std::tuple(!e->lingers(), e->began(), e->rested());
+  };
+  std::sort(idle.begin(), idle.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+  // A request may wait there unread.
+  const auto oldest = std::find_if(idle.begin(), idle.end(), [](const auto* e) { return e->Quiet(); });
+  if (oldest == idle.end()) return false;
   counters_.Add("edges_shed");
-  OnGone(*oldest);
+  OnGone(**oldest);
   return true;
 }
 
@@ -220,7 +228,7 @@
 
 void Sidecar::Take(EdgeConnection& edge, Message message, bool long_body) {
   const bool ready = life_.ready() || replaced();
-  std::optional<FlowRequest> request = take_in_(edge, std::move(message), long_body, ready, leaving());
+  std::optional<FlowRequest> request = take_in_(edge, std::move(message), long_body, ready, Leaves(edge));
   if (!request) return;
   Flow* flow = admit_(edge, std::move(*request));
   if (flow == nullptr) return;
@@ -275,7 +283,7 @@
   LeaveFlow(*gone, Ending::kLeft);
   loop_.Bury(std::move(gone));
   OnRested();
-  if (closing_ && edges_.empty() && drained_) loop_.Post(alive_, std::exchange(drained_, nullptr));
+  TellDrained();
 }
 
 void Sidecar::SendFlow(FlowId id, ServerId server, std::optional<Span> time_out) {
@@ -299,7 +307,7 @@
   if (begun) {
     book_.Close(result.flow, served ? relay_.Finish(*flow) : relay_.Break(*flow));
   } else if (served) {
-    book_.Close(result.flow, relay_.Served(*flow, result.answer, leaving()));
+    book_.Close(result.flow, relay_.Served(*flow, result.answer, Leaves(*flow)));
   }
   book_.Attempt(result, served || begun || flow == nullptr);
 }
@@ -308,7 +316,7 @@
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return send_.Cancel(id, attempt);
   decisions_.TellAnswerBegun(id, attempt);
-  if (!relay_.Begin(*flow, head, leaving())) send_.Pause(*flow);
+  if (!relay_.Begin(*flow, head, Leaves(*flow))) send_.Pause(*flow);
 }
 
 void Sidecar::AnswerPiece(FlowId id, int attempt, std::string piece) {
@@ -320,13 +328,13 @@
 void Sidecar::TurnDown(FlowId id, std::chrono::microseconds retry_after) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
-  book_.Close(id, relay_.TurnDown(*flow, retry_after, leaving()));
+  book_.Close(id, relay_.TurnDown(*flow, retry_after, Leaves(*flow)));
 }
 
 void Sidecar::FailFlow(FlowId id) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
-  book_.Close(id, relay_.Failed(*flow, leaving()));
+  book_.Close(id, relay_.Failed(*flow, Leaves(*flow)));
 }
 
 // A source may keep servers against its own list for as long as they can be reached.
@@ -342,7 +350,7 @@
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
   counters_.Add("flows_last_call");
-  book_.Close(id, relay_.Failed(*flow, leaving()));
+  book_.Close(id, relay_.Failed(*flow, Leaves(*flow)));
   decisions_.TellGone(id);
 }
 
@@ -426,7 +434,8 @@
   begin_timer_.Stop();  // one that has not begun yet never does
   if (inherited_) close(*std::exchange(inherited_, std::nullopt));
   if (replaced()) listener_.Close();  // what waits in its queue is the other process's
-  kill_at_ = Clock::now() + KillTime(config_.settings);
+  answer_by_ = Clock::now() + AnswerTime(config_.settings);
+  admit_.AnswerAllBy(answer_by_);
   close_timer_.Start(ServeOn(config_.settings));
 }
 
@@ -450,11 +459,27 @@
 
 void Sidecar::CloseEdges() {
   closing_ = true;
-  listener_.Close();
+  StopListening();
   std::vector<EdgeConnection*> edges;
   for (const auto& [edge, owned] : edges_) edges.push_back(edge);
   for (EdgeConnection* edge : edges) edge->CloseWhenIdle();
-  if (edges_.empty() && drained_) loop_.Post(alive_, std::exchange(drained_, nullptr));
+  TellDrained();
+}
+
+// Those in the kernel's queue have been accepted by the machine, and may have sent their requests: they are
+// taken first.
+void Sidecar::StopListening() {
+  if ((accept_waits_ || listener_.Waiting()) && Clock::now() < answer_by_) {
+    return listener_timer_.Start(kLastAccepts);
+  }
+  accept_waits_ = false;
+  listener_.Close();
+  TellDrained();
+}
+
+void Sidecar::TellDrained() {
+  const bool done = closing_ && !listener_.open() && edges_.empty();
+  if (done && drained_) loop_.Post(alive_, std::exchange(drained_, nullptr));
 }
 
 }  // namespace umberdyke::net
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -89,13 +89,20 @@
   void LastCall(FlowId flow);
   void Tick();
   void CloseEdges();
+  void StopListening();
+  void TellDrained();
   void Begin();
   void BeginServing();
   void Shared();
   void ShedTo(int edges);
   void CloseIdleEdges();
-  // Connections end with their next answer.
-  bool leaving() const { return closing_ || replaced() || life_.state() == Life::State::kDrained; }
+  // The connection ends with its next answer; one of a process that ends, only when it has answered all that
+  // came on it, for as long as there is time.
+  bool Leaves(const EdgeConnection& edge) const {
+    if (life_.state() == Life::State::kDrained) return true;
+    return (closing_ || replaced()) && (!edge.HasMore() || Clock::now() >= answer_by_);
+  }
+  bool Leaves(const Flow& flow) const { return Leaves(*flow.edge); }
   // Told to end while another process of this sidecar takes what comes.
   bool replaced() const {
     return life_.state() == Life::State::kEnding && handover_ && handover_->successor();
@@ -116,7 +123,7 @@
   RealServers servers_;
   Decisions decisions_;
   const TakeIn take_in_;
-  const Admit admit_;
+  Admit admit_;
   const Route route_;
   SendOut send_;
   const Relay relay_;
@@ -131,11 +138,12 @@
   int watch_failures_ = 0;  // in a row
   bool accept_waits_ = false;
   bool closing_ = false;  // told to end, and new connections come no more
-  Time kill_at_{};        // the end that is forced where it has not come by itself
+  Time answer_by_{};      // shortly before the end is forced, all that was taken has its answer
   std::function<void()> drained_;
   Timer begin_timer_;
   Timer accept_timer_;
   Timer close_timer_;
+  Timer listener_timer_;
   Timer idle_timer_;
   Timer tick_;
 };
--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -84,10 +84,15 @@
   return R"({"version":)" + std::to_string(version) + R"(,"full":)" + (full ? "true" : "false") +
          R"(,"servers":[)" + all + "]}";
 }
-inline std::string Look(const std::string& time = "4000") {
-  return "GET /api?lot=7 HTTP/1.1\r\nHost: s\r\nX-Request-ID: a1\r\nX-Priority-Class: look\r\n"
-         "X-Tenant-Id: acme\r\nX-Timeout-Ms: " +
-         time + "\r\n\r\n";
+inline std::string Look(const std::string& time = "4000", const std::string& id = "a1") {
+  return "GET /api?lot=7 HTTP/1.1\r\nHost: s\r\nX-Request-ID: " + id +
+         "\r\nX-Priority-Class: look\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: " + time + "\r\n\r\n";
+}
+inline std::string Replaced(std::string text, const std::string& part, const std::string& by) {
+  for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + by.size())) {
+    text.replace(at, part.size(), by);
+  }
+  return text;
 }
 inline std::string Hand(const std::string& request_class = "hand") {
   return "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: b2\r\nX-Priority-Class: " + request_class +
@@ -96,7 +101,9 @@
 
 // A sidecar between scripted parties. Discovery answers each watch with its head and keeps it open.
 struct Site {
-  explicit Site(int servers = 2, int descriptors = 1024, const Environment& environment = NoEnvironment())
+  using Change = std::function<void(std::string* config)>;
+  explicit Site(int servers = 2, int descriptors = 1024, const Environment& environment = NoEnvironment(),
+                const Change& change = {})
       : discovery(loop) {
     discovery.script = [this](Party::Peer& peer) {
       watch = &peer;
@@ -107,7 +114,8 @@
       real.push_back(std::make_unique<Party>(loop));
       lines.push_back(ServerLine("s" + std::to_string(i), real.back()->address()));
     }
-    const std::string text = ConfigText(discovery.address(), ListText(1, true, lines), descriptors);
+    std::string text = ConfigText(discovery.address(), ListText(1, true, lines), descriptors);
+    if (change) change(&text);
     sidecar = std::make_unique<Sidecar>(loop, ParseConfig(text, environment), log::NoLog());
   }
   void Script(std::function<void(Party::Peer&)> script) {
