Begin no attempt for a client that has gone, wherever its request waits

Seen by reading the paths, then forced: over 16 KiB of requests behind the one that is out the edge stops reading, and the end behind them was learnt only with the answer.

Cause: only a read told of a close (EdgeConnection::OnEnd); SendFlow and a connection that came up asked nobody; bytes of a cancelled attempt that the kernel still held went out after the close; and where a site does not let attempts be cancelled, one that was not out whole went on.

A flow that ends as left abandons attempts whose last byte is not out. What is closed with bytes under way is reset (Stream::Abort), so that they never arrive. A connection that came up for nobody, or for a server that leaves, is no fault of the server any more (kNotTried, was kNoRoom).

Tests (crossings, each forced by bytes held back or a gate, with and without input behind): waiting for a server, between two attempts, on a connection that comes up after a second, partly out.

--- a/examples/party.h
+++ b/examples/party.h
@@ -2,6 +2,8 @@
 #ifndef UMBERDYKE_EXAMPLES_PARTY_H_
 #define UMBERDYKE_EXAMPLES_PARTY_H_
 
+#include <sys/socket.h>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,6 +58,12 @@
   }
   std::string error;  // empty, or why it does not listen
   std::string address() const { return PrintAddress(listener_.address()); }
+  // From now on connections are not read until somebody reads their streams, and little waits there meanwhile.
+  void Hold() {
+    holds_ = true;
+    const int little = 2048;
+    setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &little, sizeof little);
+  }
   std::function<void(Peer&)> script;
   std::vector<std::unique_ptr<Peer>> peers;
   int requests = 0;
@@ -64,10 +72,11 @@
   void Come() {
     peers.push_back(std::make_unique<Peer>(loop_, *this));
     peers.back()->stream.Accept(listener_.raw());
-    peers.back()->stream.Read();
+    if (!holds_) peers.back()->stream.Read();
   }
   Loop& loop_;
   Listener listener_;
+  bool holds_ = false;
 };
 
 }  // namespace umberdyke::net
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace umberdyke::net {
 
@@ -16,7 +17,9 @@
   INVARIANT(!flow.body_left, counters_);
   flow.wait = routed.wait;
   ExchangeEvents events;
-  events.may_begin = [this, server = routed.server] { return route_.Open(server); };
+  events.may_begin = [this, id = flow.id, server = routed.server] {
+    return route_.Open(server) && wanted_(id);
+  };
   events.sent = [this, id = flow.id, fed] { Sent(id, fed); };
   if (fed) events.room = [this, id = flow.id] { passing_.room(id); };
   events.answer = [this, key](const Message& head) { passing_.answer(key.first, key.second, head); };
@@ -75,6 +78,14 @@
   done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}});
 }
 
+void SendOut::Abandon(FlowId flow) {
+  std::vector<int> unsent;
+  for (auto it = attempts_.lower_bound({flow, 0}); it != attempts_.end() && it->first.first == flow; ++it) {
+    if (!servers_.IsOut(it->second.exchange)) unsent.push_back(it->first.second);
+  }
+  for (const int attempt : unsent) Cancel(flow, attempt);
+}
+
 Outcome SendOut::OutcomeOf(const ExchangeEnd& end) {
   switch (end.how) {
     case ExchangeEnd::How::kAnswered:
@@ -87,7 +98,7 @@
       return Outcome::kSpoilt;
     case ExchangeEnd::How::kTimedOut:
       return Outcome::kTimeout;
-    case ExchangeEnd::How::kNoRoom:
+    case ExchangeEnd::How::kNotTried:
       break;
   }
   return Outcome::kNotSent;
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -27,6 +27,7 @@
 class SendOut {
  public:
   using Done = std::function<void(AttemptResult)>;
+  using Wanted = std::function<bool(FlowId)>;  // its client is still there
   struct Passing {
     std::function<void(FlowId)> room;         // for more of a long body
     std::function<void(FlowId)> body_begins;  // a piece of a long body has left: it is not kept
@@ -35,13 +36,14 @@
     std::function<void(FlowId, int attempt, std::string piece)> piece;
   };
   SendOut(RealServers& servers, const Route& route, const Platform& platform, Tally& tally,
-          Counters& counters, bool copies, Done done, Passing passing)
+          Counters& counters, bool copies, Wanted wanted, Done done, Passing passing)
       : servers_(servers),
         route_(route),
         platform_(platform),
         tally_(tally),
         counters_(counters),
         copies_(copies),
+        wanted_(std::move(wanted)),
         done_(std::move(done)),
         passing_(std::move(passing)) {}
 
@@ -53,6 +55,8 @@
   void Resume(const Flow& flow);
   // Ends the attempt at once; nothing for one that is over.
   void Cancel(FlowId flow, int attempt);
+  // The client has gone: attempts that have not left whole never do.
+  void Abandon(FlowId flow);
   size_t open() const { return attempts_.size(); }
   static Outcome OutcomeOf(const ExchangeEnd& end);
 
@@ -70,6 +74,7 @@
   Tally& tally_;
   Counters& counters_;
   const bool copies_;  // two attempts of one flow may be in flight together
+  const Wanted wanted_;
   const Done done_;
   const Passing passing_;
   std::map<std::pair<FlowId, int>, Attempt> attempts_;
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -85,7 +85,7 @@
   }
   if (open_ >= limits_.descriptors && !ShedOldest()) {
     counters_.Add("connections_no_room");
-    EndLater(id, How::kNoRoom);
+    EndLater(id, How::kNotTried);
     return id;
   }
   counters_.Add("connections_opened");
@@ -98,7 +98,7 @@
   if (!exchange.connection->stream.Connect(address)) {
     counters_.Add("connections_no_room");
     ShedOldest();
-    EndLater(id, How::kNoRoom);
+    EndLater(id, How::kNotTried);
   }
   return id;
 }
@@ -150,6 +150,11 @@
   return it->second->connection->stream.unwritten() < passing_.window();
 }
 
+bool RealServers::IsOut(ExchangeId id) const {
+  const auto it = exchanges_.find(id);
+  return it != exchanges_.end() && it->second->written;
+}
+
 void RealServers::EndFeed(ExchangeId id, Span time_out) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
@@ -177,8 +182,9 @@
 void RealServers::Connected(Connection& connection, bool ok) {
   Exchange& exchange = *connection.exchange;
   exchange.connecting = false;
-  // The list may have changed while the connection came up.
-  if (!ok || !exchange.events.may_begin()) return End(exchange, How::kNotConnected);
+  if (!ok) return End(exchange, How::kNotConnected);
+  // The list may have changed while the connection came up, and the client may have left.
+  if (!exchange.events.may_begin()) return End(exchange, How::kNotTried);
   exchange.timer.Start(std::max<Span>(exchange.until - Clock::now(), Span::zero()));
   connection.stream.Read();
   Begin(exchange);
@@ -414,7 +420,7 @@
 }
 
 void RealServers::Discard(std::unique_ptr<Connection> connection) {
-  connection->stream.Close();
+  connection->stream.Abort();
   connection->exchange = nullptr;
   --open_;
   loop_.Bury(std::move(connection));
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -26,7 +26,7 @@
     kBroken,        // broken after that
     kSpoilt,        // the answer made no sense, or is not the one that was asked for
     kTimedOut,      // no whole answer in time, though the request was written
-    kNoRoom,        // not tried: every descriptor is in use
+    kNotTried,      // every descriptor is in use, or nobody wants it any more
   };
   How how;
   Message answer;  // without a body where it was told in pieces
@@ -35,7 +35,7 @@
 
 // What the one that starts an exchange is asked and told. All but may_begin and done may be empty.
 struct ExchangeEvents {
-  std::function<bool()> may_begin;  // asked right before the first byte goes out
+  std::function<bool()> may_begin;  // asked right before the first byte goes out on a new connection
   std::function<void()> sent;       // the request's last byte is written
   // A body that is fed: its head is out, or some of it is, and there is room for more.
   std::function<void()> room;
@@ -72,6 +72,7 @@
   void CloseIdle(ServerId server);
   // Closes connections near the end of their idle time.
   void Sweep();
+  bool IsOut(ExchangeId id) const;  // the request's last byte is written
   // From now on so many connections at most; those at rest over that close.
   void LimitTo(int descriptors);
   int open() const { return open_; }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -45,6 +45,7 @@
           [this](int request_class) { book_.Refused(request_class); }),
       route_(entry_, config_.settings),
       send_(servers_, route_, platform_, tally_, counters_, config_.settings.parallel_attempts,
+            [this](FlowId flow) { return Wanted(flow); },
             [this](AttemptResult result) { AttemptEnded(std::move(result)); },
             {[this](FlowId id) {
                if (Flow* flow = flows_.Find(id); flow != nullptr) send_.Pump(*flow);
@@ -262,9 +263,16 @@
   const FlowId flow = std::exchange(edge.flow, 0);
   if (flow == 0) return;
   book_.Close(flow, ending);
+  send_.Abandon(flow);
   decisions_.TellGone(flow);
 }
 
+// Asked right before anything of an attempt goes out.
+bool Sidecar::Wanted(FlowId id) {
+  const Flow* flow = flows_.Find(id);
+  return flow != nullptr && !flow->edge->Left();
+}
+
 // Clients that wait in the kernel's queue get their turn once a connection can be spared.
 void Sidecar::OnRested() {
   if (!accept_waits_ || !listener_.open()) return;
@@ -288,6 +296,11 @@
 
 void Sidecar::SendFlow(FlowId id, ServerId server, std::optional<Span> time_out) {
   Flow* flow = flows_.Find(id);
+  if (flow != nullptr && flow->edge->Left()) {
+    counters_.Add("sends_for_nobody");
+    OnGone(*flow->edge);
+    flow = nullptr;
+  }
   const int attempt = flow == nullptr ? 0 : flow->attempts++;
   if (zones_ && zones_->Closed(server)) counters_.Add("sent_to_closed_zone");
   if (flow != nullptr && flow->taking) flow->deadline = Clock::now() + flow->request.time_left;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -82,6 +82,7 @@
   bool ShedOldestEdge();
   void Take(EdgeConnection& edge, Message message, bool long_body);
   void LeaveFlow(EdgeConnection& edge, Ending ending);
+  bool Wanted(FlowId flow);
   void AnswerBegins(FlowId flow, int attempt, const Message& head);
   void AnswerPiece(FlowId flow, int attempt, std::string piece);
   void AttemptEnded(AttemptResult result);
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -1,5 +1,10 @@
 // The moments in which one side ends something while the other still owes or is owed: each crossing is forced, by
 // bytes held back, gates, and a clock that the test moves on. docs/design.md lists them.
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
 #include "site.h"
@@ -196,5 +201,158 @@
   }
 }
 
+// --- A client that has gone ---
+
+// Much more than is read ahead while a request is out, so that what comes behind it stays in the kernel.
+std::string ManyBehind() {
+  std::string many;
+  while (many.size() < 60'000) many += Look("4000", "behind" + std::to_string(many.size()));
+  return many;
+}
+
+// Guards against work for nobody: the close stands behind bytes that are not read, and the request waits for a server.
+TEST_CASE("a client that closes while its request waits for a server gets no attempt", "[crossings]") {
+  for (const bool pipelined : {false, true}) {
+    Site site(0);
+    Party server(site.loop);
+    server.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
+    REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+    const auto client = site.Connect();
+    client->Send(Look("4000", "waits") + (pipelined ? ManyBehind() : ""));
+    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("flows_taken") == 1; }));
+    site.loop.Settle();
+    client->stream.Close();
+    site.loop.Settle();
+    site.Tell(ListText(2, false, {ServerLine("s", server.address())}));
+    site.loop.Pass(2s);
+    INFO(pipelined);
+    CHECK(server.requests == 0);
+    CHECK(site.sidecar->counters().Of("flows_left") == 1);
+  }
+}
+
+// Guards against a further attempt for nobody: the first was turned away, and no other server is there yet.
+TEST_CASE("a client that closes between two attempts gets no further one", "[crossings]") {
+  for (const bool pipelined : {false, true}) {
+    Site site(1);
+    Party::Peer* held = nullptr;
+    site.Script([&](Party::Peer& peer) { held = &peer; });
+    Party other(site.loop);
+    other.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
+    REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+    const auto client = site.Connect();
+    client->Send(Look("4000", "waits") + (pipelined ? ManyBehind() : ""));
+    REQUIRE(site.Until([&] { return held != nullptr; }));
+    site.Tell(ListText(2, false, {ServerLine("s0", site.real[0]->address(), "draining")}));
+    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
+    held->Answer(503, "", {{"X-Not-Processed", "1"}});
+    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("attempts_rejected") == 1; }));
+    site.loop.Settle();
+    client->stream.Close();
+    site.loop.Settle();
+    site.Tell(ListText(3, false, {ServerLine("other", other.address())}));
+    site.loop.Pass(2s);
+    INFO(pipelined);
+    CHECK(other.requests == 0);
+    CHECK(site.Requests() == 1);
+  }
+}
+
+// A listening socket that takes no connection until it is asked to: one waits in its queue, others do not come up.
+struct Gate {
+  Gate() {
+    fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&any), sizeof any) == 0);
+    REQUIRE(listen(fd, 0) == 0);
+    socklen_t size = sizeof any;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&any), &size);
+    address = "127.0.0.1:" + std::to_string(ntohs(any.sin_port));
+    filler = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    REQUIRE(connect(filler, reinterpret_cast<sockaddr*>(&any), sizeof any) == 0);
+  }
+  ~Gate() {
+    for (const int open : {fd, filler, taken, next}) {
+      if (open >= 0) close(open);
+    }
+  }
+  void Open() { taken = accept(fd, nullptr, nullptr); }
+  // What the connection that came up then has brought.
+  std::string Brought() {
+    std::string all(4096, 0);
+    pollfd asked{fd, POLLIN, 0};
+    if (next < 0 && poll(&asked, 1, 0) > 0) next = accept(fd, nullptr, nullptr);
+    const ssize_t count = next < 0 ? 0 : recv(next, all.data(), all.size(), MSG_DONTWAIT);
+    all.resize(count > 0 ? static_cast<size_t>(count) : 0);
+    return all;
+  }
+  int fd = -1;
+  int filler = -1;
+  int taken = -1;
+  int next = -1;
+  std::string address;
+};
+
+// Guards against a first byte for nobody on a connection that came up late (SYNs come again after a second).
+TEST_CASE("a client that closes while a connection comes up gets nothing sent on it", "[crossings]") {
+  for (const bool pipelined : {false, true}) {
+    Gate gate;
+    Site site(0, 1024, NoEnvironment(), [&](std::string* text) {
+      *text = Replaced(*text, "\"connect_timeout_us\":150000", "\"connect_timeout_us\":3900000");
+      AddOnce(text);
+    });
+    REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+    site.Tell(ListText(2, false, {ServerLine("late", gate.address)}));
+    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
+    const auto client = site.Connect();
+    client->Send(Once("waits", "4000") + (pipelined ? ManyBehind() : ""));
+    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
+    site.loop.Settle();
+    client->stream.Close();
+    site.loop.Settle();
+    gate.Open();
+    std::string brought;
+    site.loop.RunUntil([&] { return !(brought += gate.Brought()).empty(); }, 2s);
+    INFO(pipelined);
+    CHECK(brought.empty());
+  }
+}
+
+// And its sister: a connection that comes up later than a second serves where the client is still there.
+TEST_CASE("a connection that comes up late is used by a client that waits", "[crossings]") {
+  Gate gate;
+  Site site(0, 1024, NoEnvironment(), [&](std::string* text) {
+    *text = Replaced(*text, "\"connect_timeout_us\":150000", "\"connect_timeout_us\":3900000");
+    AddOnce(text);
+  });
+  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+  site.Tell(ListText(2, false, {ServerLine("late", gate.address)}));
+  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
+  const auto client = site.Connect();
+  client->Send(Once("waits", "4000"));
+  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
+  gate.Open();
+  std::string brought;
+  CHECK(site.loop.RunUntil([&] { return !(brought += gate.Brought()).empty(); }, 3s));
+}
+
+// Guards against a request that reaches its server after its client has gone: its last bytes are held back.
+TEST_CASE("a request that is partly out when its client closes never comes whole", "[crossings]") {
+  Site site(1, 1024, NoEnvironment(), AddOnce);
+  site.real[0]->Hold();
+  const auto client = site.Connect();
+  client->Send(Once("held", "4000", std::string(60'000, 'x')));
+  REQUIRE(site.Until([&] { return !site.real[0]->peers.empty(); }));
+  site.loop.Settle();
+  client->stream.Close();
+  site.loop.Settle();
+  Party::Peer& peer = *site.real[0]->peers[0];
+  peer.stream.Read();
+  REQUIRE(site.Until([&] { return peer.ended; }));
+  CHECK(site.Requests() == 0);
+}
+
 }  // namespace
 }  // namespace umberdyke::net
