Keep one clock of silence for the watch, and lose no change with what cannot be read

Need: a change counts as told 6 s after discovery had it and could be reached, whatever failed. Read in the code, then forced: - Any byte put the silence of a watch off, also the head of a reconnect that says nothing (ListWatch::OnData): two silences in a row and the module's waits between them (0.25 to 0.75 s, doubling) came to 6 s and more. - A watch that ended waited for the module too, and after an outage up to 5 s (a third of ask_every by chance) before a call of 2 s. - An object over several lines was read as lines that make no sense; what could not be read was dropped, and the versions told behind it moved on: its change was never told again.

Change: only whole objects and empty lines put the end of patience off (2.3 s; the beat is 2 s). ListCutter cuts objects out of any bytes. What can't be read leaves the watch as it is and the version where it was, and a second call beside it asks for all since then, rarer each time that does not help.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -87,6 +87,7 @@
 constexpr Micros kHeldPace = 20'000;  // how often held requests look for a server
 constexpr double kWaitShare = 0.45;   // and for how much of their time: from half on an unsent one costs more
 constexpr Micros kFirstAskDelay = 500'000;
+constexpr Micros kLongestAsk = 1'500'000;  // what discovery tells when it is back counts 6 s later
 constexpr double kRateTime = 8e6;   // memory of the rate that warm upstreams take
 constexpr double kRateFall = 60e6;  // and how long it lasts when they take less: a jam is no measure of them
 constexpr double kColdShare = 0.5;  // a cold one is sent this part of its least share of that rate
@@ -334,7 +335,7 @@
   // Later each time and never in step with the other instances.
   void AskAgain() {
     SetTimerIn(static_cast<Micros>(static_cast<double>(ask_delay_) * (0.5 + random_.Unit())), kAskToken);
-    ask_delay_ = std::min(2 * ask_delay_, settings_.ask_every / 3);
+    ask_delay_ = std::min({2 * ask_delay_, settings_.ask_every / 3, kLongestAsk});
   }
 
   // --- The ordinary path: chips, capacity, two draws ---
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -85,6 +85,7 @@
   Timer& operator=(const Timer&) = delete;
   void Start(Span delay);
   void Stop();
+  bool running() const { return uv_is_active(reinterpret_cast<const uv_handle_t*>(&handle_->uv)) != 0; }
 
  private:
   struct Handle {
--- a/src/membership/discovery_source.cpp
+++ b/src/membership/discovery_source.cpp
@@ -1,18 +1,23 @@
 #include "membership/discovery_source.h"
 
+#include <algorithm>
+
 namespace umberdyke::net {
 namespace {
 
 using namespace std::chrono_literals;
 
-// Discovery writes at least every 2 s, and whatever it has to tell counts as told after 6 s. So a watch that
-// is silent for longer is broken, and silence, the module's wait and a new call must fit into these 6 s.
-constexpr Span kLongestSilence = 2700ms;
-constexpr Span kLongestCall = 2300ms;  // for the first bytes; calls there wait in turn, for 2 s at most
-constexpr size_t kLongestLine = 4 * 1024 * 1024;
-// After a move the list counts as told within 4 s: until then nobody else is waited for.
-constexpr Span kHurry = 4s;
-constexpr Span kHurryPace = 150ms;
+// Discovery writes at least every 2 s, and calls there wait in turn for 2 s at most. Two of these spans and a
+// call that is served fit into the 6 s after which all counts as told.
+constexpr Span kLongestSilence = 2300ms;
+constexpr Span kTold = 6s;
+constexpr size_t kLongestItem = 4 * 1024 * 1024;
+// Calls that fail in that time are made again after this, longer each time, and never in step with others'.
+constexpr Span kFirstPace = 150ms;
+constexpr Span kSlowestPace = 600ms;
+// What can't be read is asked for anew, first soon, and less and less often where that never helps.
+constexpr Span kFirstUnread = 100ms;
+constexpr Span kSlowestUnread = 10s;
 
 }  // namespace
 
@@ -21,8 +26,16 @@
       owner_(std::move(owner)),
       stream_(loop, this),
       silence_(loop, [this] { Broken("it fell silent"); }) {
-  parser_.StreamBodyTo([this](std::string_view bytes) { TakeBody(bytes); });
-  silence_.Start(kLongestCall);
+  // Lines may be split anywhere, objects stand on several, and empty lines only say that the watch lives.
+  parser_.StreamBodyTo([this](std::string_view bytes) {
+    if (parser_.message().status != 200 || !stream_.open()) return;
+    cutter_.Feed(bytes, [this](std::string_view text) {
+      silence_.Start(kLongestSilence);
+      owner_.item(text);
+      return stream_.open();  // told of a change, the module may have ended the watch
+    });
+  });
+  silence_.Start(kLongestSilence);
   if (!stream_.Connect(discovery)) silence_.Start(0ms);
 }
 
@@ -32,30 +45,13 @@
   if (stream_.Write(request_) == Stream::Wrote::kBroken) Broken("the request could not be written");
 }
 
+// A head, or a part of an object, is no news: only what is whole puts the end of patience off.
 void ListWatch::OnData(std::string_view bytes) {
-  silence_.Start(kLongestSilence);
   size_t used = 0;
   const Parsed parsed = parser_.Feed(bytes, &used);
-  if (!stream_.open()) return;  // told of a change, the module may have ended the watch
-  if (parsed == Parsed::kMore && !broken_body_ && (!parser_.head_done() || parser_.message().status == 200)) {
-    return;
-  }
-  Broken("it ended or made no sense");
-}
-
-// Lines may be split anywhere, and empty ones only say that the watch lives.
-void ListWatch::TakeBody(std::string_view bytes) {
-  if (parser_.message().status != 200) return;
-  while (!bytes.empty() && stream_.open()) {
-    const size_t end = bytes.find('\n');
-    line_.append(bytes.substr(0, end));
-    if (line_.size() > kLongestLine) broken_body_ = true;
-    if (end == std::string_view::npos || broken_body_) return;
-    bytes.remove_prefix(end + 1);
-    const std::string line = std::move(line_);
-    line_.clear();
-    if (line.find_first_not_of(" \r\t") != std::string::npos) owner_.line(line);
-  }
+  if (!stream_.open()) return;
+  const bool good = !parser_.head_done() || parser_.message().status == 200;
+  if (parsed != Parsed::kMore || !good || cutter_.held() > kLongestItem) Broken("it ended or made no sense");
 }
 
 void ListWatch::Broken(const char* why) {
@@ -69,23 +65,31 @@
   stream_.Close();
 }
 
-DiscoverySource::DiscoverySource(Loop& loop, const Platform& platform, const Address& discovery,
+DiscoverySource::DiscoverySource(Loop& loop, const Platform& platform, const Config& config,
                                  std::int64_t version, Counters& counters, Owner owner)
     : loop_(loop),
       platform_(platform),
-      discovery_(discovery),
+      discovery_(config.discovery),
+      pushed_(!config.settings.must_ask),
       counters_(counters),
       owner_(std::move(owner)),
+      random_(config.seed),
       version_(version),
-      again_(loop, [this] {
-        if (wanted_ && watch_ == nullptr) Ask();
-      }) {}
+      pace_(kFirstPace),
+      unread_pace_(kFirstUnread),
+      again_(loop,
+             [this] {
+               if (wanted_ && watch_ == nullptr) Ask();
+             }),
+      anew_(loop, [this] { AskBeside(); }) {}
 
 void DiscoverySource::Watch(bool on) {
+  if (on && !wanted_) soon_until_ = Clock::now() + kTold;
   wanted_ = on;
   if (!on) {
     Drop(watch_);
     Drop(old_);
+    anew_.Stop();
   } else if (watch_ == nullptr) {
     Ask();
   }
@@ -96,8 +100,14 @@
   counters_.Add("discovery_moves");
   discovery_ = discovery;
   version_ = 0;  // another service may count its versions anew
-  hurry_until_ = Clock::now() + kHurry;
-  // A second move before the first has told anything: the watch before both is the one that knows the list.
+  soon_until_ = Clock::now() + kTold;
+  pace_ = kFirstPace;
+  AskBeside();
+}
+
+void DiscoverySource::AskBeside() {
+  anew_.Stop();
+  // A second time before the first has told anything: the watch before both is the one that knows the list.
   if (old_ == nullptr) {
     old_ = std::move(watch_);
   } else {
@@ -109,11 +119,11 @@
 void DiscoverySource::Ask() {
   counters_.Add("discovery_calls");
   again_.Stop();
-  // Which of the two watches a line is from shows in whether it is still the new one.
+  // Which of the two watches an item is from shows in whether it is still the new one.
   const auto place = std::make_shared<ListWatch*>(nullptr);
   watch_ = std::make_unique<ListWatch>(
       loop_, discovery_, version_,
-      ListWatch::Owner{[this, place](std::string_view line) { TakeLine(line, *place != watch_.get()); },
+      ListWatch::Owner{[this, place](std::string_view text) { TakeItem(text, *place != watch_.get()); },
                        [this, place](const char* why) {
                          if (*place == watch_.get()) return Broken(why);
                          Drop(old_);
@@ -121,25 +131,42 @@
   *place = watch_.get();
 }
 
-void DiscoverySource::TakeLine(std::string_view line, bool from_old) {
-  const auto change = platform_.ReadList(line);
-  if (!change) {
-    counters_.Add("discovery_unreadable");
-    return;
+void DiscoverySource::TakeItem(std::string_view text, bool from_old) {
+  if (!from_old) {  // it lives, and all that came before has been told
+    soon_until_ = Clock::now() + kTold;
+    pace_ = kFirstPace;
   }
+  if (text.empty()) return;
+  const auto change = platform_.ReadList(text);
+  if (!change) return Unreadable(from_old);
   counters_.Add("discovery_changes");
-  if (!from_old) {
+  if (!from_old && !anew_.running()) {
     version_ = change->full ? change->version : std::max(version_, change->version);
+    unread_pace_ = kFirstUnread;
     Drop(old_);
   }
   owner_.told(*change, change->full ? ListUpdate::kComplete : ListUpdate::kChanges);
 }
 
+// What it said may never be said again: discovery is asked once more for all since the last that could be read.
+void DiscoverySource::Unreadable(bool from_old) {
+  counters_.Add("discovery_unreadable");
+  if (from_old || anew_.running()) return;
+  anew_.Start(Spread(unread_pace_));
+  unread_pace_ = std::min(2 * unread_pace_, kSlowestUnread);
+}
+
 void DiscoverySource::Broken(const char* why) {
   Drop(watch_);
   counters_.Add("discovery_broken");
-  if (Clock::now() < hurry_until_) return again_.Start(kHurryPace);
-  owner_.failed(why);
+  if (!pushed_ && Clock::now() >= soon_until_) return owner_.failed(why);
+  again_.Start(Spread(pace_));
+  pace_ = std::min(pace_ * 3 / 2, kSlowestPace);
+}
+
+Span DiscoverySource::Spread(Span time) {
+  return time / 2 + std::chrono::duration_cast<Span>(
+                        time * std::uniform_real_distribution<double>(0, 1)(random_));
 }
 
 void DiscoverySource::Drop(std::unique_ptr<ListWatch>& watch) {
--- a/src/membership/discovery_source.h
+++ b/src/membership/discovery_source.h
@@ -1,14 +1,19 @@
-// The platform's discovery: a watch over HTTP. When to ask is the module's to say; a watch that ends, fails
-// or falls silent is reported once. Only a move to another address, which the module knows nothing of, is
-// seen through here.
+// The platform's discovery: a watch over HTTP.
+//
+// One clock of silence: whatever discovery has to tell counts as told 6 s after it had it and could be reached.
+// A watch from which nothing whole has come for longer than its beat is broken, and for those 6 s after the last
+// word this source asks again by itself, soon; from then on, when to ask is the module's to say. Where lists are
+// pushed, what is to be told counts at once, so that it goes on asking soon.
 #ifndef UMBERDYKE_MEMBERSHIP_DISCOVERY_SOURCE_H_
 #define UMBERDYKE_MEMBERSHIP_DISCOVERY_SOURCE_H_
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "membership/source.h"
+#include "platform/list_cutter.h"
 
 namespace umberdyke::net {
 
@@ -16,7 +21,7 @@
 class ListWatch : public StreamUser {
  public:
   struct Owner {
-    std::function<void(std::string_view)> line;  // without empty ones
+    std::function<void(std::string_view)> item;  // whole; empty: only that the watch lives
     std::function<void(const char*)> broken;     // once; the watch may be destroyed after this returns
   };
   ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Owner owner);
@@ -29,22 +34,20 @@
   void OnWritten(bool ok) override {
     if (!ok) Broken("the request could not be written");
   }
-  void TakeBody(std::string_view bytes);
   void Broken(const char* why);
 
   const std::string request_;
   const Owner owner_;
   Stream stream_;
   HttpParser parser_{HttpParser::Kind::kResponse};
-  std::string line_;
-  bool broken_body_ = false;
+  ListCutter cutter_;
   Timer silence_;
 };
 
 class DiscoverySource : public MemberSource {
  public:
   // `version` is the one of the list that the sidecar holds already.
-  DiscoverySource(Loop& loop, const Platform& platform, const Address& discovery, std::int64_t version,
+  DiscoverySource(Loop& loop, const Platform& platform, const Config& config, std::int64_t version,
                   Counters& counters, Owner owner);
 
   void Watch(bool on) override;
@@ -52,24 +55,33 @@
 
  private:
   // Discovery stands elsewhere from now on. Its list is asked for whole there; the old watch goes on until
-  // the new one tells something, and for a while a new one that fails is asked for again at once.
+  // the new one tells something.
   void MoveTo(const Address& discovery);
   void Ask();
-  void TakeLine(std::string_view line, bool from_old);
+  // Something else is to be believed from now on: the present watch counts until that tells something.
+  void AskBeside();
+  void TakeItem(std::string_view text, bool from_old);
+  void Unreadable(bool from_old);
   void Broken(const char* why);
   void Drop(std::unique_ptr<ListWatch>& watch);
+  Span Spread(Span time);
 
   Loop& loop_;
   const Platform& platform_;
   Address discovery_;
+  const bool pushed_;
   Counters& counters_;
   const Owner owner_;
+  std::mt19937_64 random_;
   std::int64_t version_;
   bool wanted_ = false;
   std::unique_ptr<ListWatch> watch_;
-  std::unique_ptr<ListWatch> old_;  // at the address before the last move
-  Time hurry_until_{};
+  std::unique_ptr<ListWatch> old_;  // at the address before the last move, or one that told what can't be read
+  Time soon_until_{};               // calls that fail are made again by this source until then
+  Span pace_{};                     // of these
+  Span unread_pace_{};              // and of those for what could not be read
   Timer again_;
+  Timer anew_;
 };
 
 }  // namespace umberdyke::net
