Watch discovery from the start where lists are pushed, and serve once its list is there

Ruled out: the silence of a watch; discovery counted no call.

Cause: only the module's Subscribe opened the watch, and the module asks where it must ask. On sockets pushed lists come on a watch too, and what the agent has counts as told from the first moment of a process, so that the list of the last life is no ground to send on.

Change: the sidecar opens the watch itself where lists are pushed, and listens once the first list is there, or after 4 s (a process that is ready has to be within 10 s). A watch that breaks there is always opened again soon. A process that already runs and can't listen goes on trying instead of throwing out of a callback.

Tests (watch): not ready before the list, nothing sent to what it leaves out; ready within 5 s where discovery refuses or says nothing, and told when it is back.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -22,6 +22,7 @@
 // a while, as a close may cross a request, and closed in time for the notice of two seconds.
 constexpr Span kLeaveAlone = 1s;
 constexpr Span kListWait = 1500ms;  // a process that takes over serves once discovery has told, or after this
+constexpr Span kPushedWait = 4s;      // and one whose lists are pushed, after this
 constexpr Span kListenAgain = 50ms;  // while another's process holds the address
 constexpr Span kIdleSweep = 100ms;
 constexpr Span kLastAccepts = 5ms;  // while connections still wait at an end
@@ -88,8 +89,11 @@
                        {[this](const ListedChange& change, ListUpdate kind) { entry_.Take(change, kind); },
                         [this](const std::string& why) { entry_.Failed(why); }});
   entry_.Take(known.value_or(ListedChange{}), ListUpdate::kCached);
-  if (config_.membership) source_->Watch(true);
+  const bool pushed = !config_.settings.must_ask;
+  awaits_list_ = pushed && !config_.membership;
+  if (pushed || config_.membership) source_->Watch(true);  // nobody has to ask first
   Begin();
+  running_ = true;
   tick_.Start(kTick);
 }
 
@@ -99,17 +103,22 @@
 
 // With a console the process may be one that replaces another: that one serves until this one can.
 void Sidecar::Begin() {
-  if (!config_.console) return BeginServing();
+  if (!config_.console) return BeginUnlisted();
   handover_ =
       std::make_unique<Handover>(loop_, config_.runtime_folder, config_.listen, counters_,
                                  Handover::Owner{[this] { return listener_.fd(); }, [this] { Shared(); }});
   inherited_ = handover_->Ask();
-  if (!inherited_) return BeginServing();
+  if (!inherited_) return BeginUnlisted();
   log_->Say(Event::kTakingOver, config_.name + " takes over from a process that serves", {});
   Shared();
   begin_timer_.Start(kListWait);
 }
 
+void Sidecar::BeginUnlisted() {
+  if (!awaits_list_) return BeginServing();
+  begin_timer_.Start(kPushedWait);
+}
+
 void Sidecar::BeginServing() {
   begin_timer_.Stop();
   const bool waits =
@@ -117,8 +126,9 @@
   const std::string error = inherited_ ? listener_.Adopt(*std::exchange(inherited_, std::nullopt))
                                        : listener_.Listen(config_.listen, waits);
   if (!error.empty()) {
-    // An address that cannot be had at all is a mistake; one that is taken may be a predecessor's.
-    if (!waits || !Listener::SaysTaken(error)) {
+    // An address that cannot be had at all is a mistake; one that is taken may be a predecessor's. A process
+    // that runs already goes on trying.
+    if (!running_ && (!waits || !Listener::SaysTaken(error))) {
       throw ConfigError("configuration: listen cannot be listened on: " + error);
     }
     log_->Say(Event::kAddressTaken, config_.name + " cannot listen yet: " + error, {{"why", error}});
@@ -174,10 +184,12 @@
   if (zones_) zones_->Listed(change);
   decisions_.TellList(change);
   const bool told = change.kind != ListUpdate::kFailed && change.kind != ListUpdate::kCached;
-  if (told && inherited_)
+  if (told && (inherited_ || awaits_list_)) {
     loop_.Post(alive_, [this] {
-      if (inherited_) BeginServing();
+      const bool begins = std::exchange(awaits_list_, false) && life_.state() == Life::State::kStarting;
+      if (inherited_ || begins) BeginServing();
     });
+  }
   // What leaves gets nothing new: connections at rest there only hold descriptors.
   for (const ListChange::Entry& entry : change.entries) {
     if (!route_.Open(entry.server)) servers_.CloseIdle(entry.server);
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -181,5 +181,37 @@
   CHECK(site.sidecar->counters().Of("discovery_unreadable") == 0);
 }
 
+// --- Lists that are pushed: what is to be told counts from the first moment, watch or none ---
+
+void Push(std::string* text) { *text = Replaced(*text, R"("discovery":"ask")", R"("discovery":"push")"); }
+
+// Guards against the list of the last life: the one that discovery has now is what counts.
+TEST_CASE("where lists are pushed a process serves once it has the list", "[watch]") {
+  WatchedSite site(Push);
+  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+  site.loop.Pass(1s);
+  CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 0);  // nobody listens yet
+  site.watch->Reply(Chunk(site.Drain(true) + "\n"));
+  site.loop.Settle();
+  CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
+  for (int i = 0; i < 20; ++i) CHECK(site.Ask(Look()).status == 200);
+  CHECK(site.real[1]->requests == 0);
+}
+
+// Guards against a start that hangs on a discovery that is away.
+TEST_CASE("where lists are pushed and none comes a process serves all the same within 10 s", "[watch]") {
+  for (const bool refuses : {false, true}) {
+    WatchedSite site(Push);
+    site.discovery.script = [&](Party::Peer& peer) {
+      if (refuses) peer.stream.Reset();
+    };
+    site.loop.Pass(5s);
+    INFO(refuses);
+    CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
+    site.discovery.script = [&](Party::Peer& peer) { peer.Reply(kHead + Chunk(site.Drain() + "\n")); };
+    CHECK(site.TellsWithin(3500ms));
+  }
+}
+
 }  // namespace
 }  // namespace umberdyke::net
