Call an agent that is away often where lists are pushed, and tell operators that it is

Ruled out: the processes that start anew; they had not begun.

Cause: while discovery is down what is pushed does not count, but what the agent gets at its return counts at once; calls that failed were made again 0.3 to 0.9 s apart.

Change: where lists are pushed 40 to 120 ms apart, and a connection that is not up after 150 ms is given up. Past the 6 s the break is told to the module and the log as before, which the pushed case had lost.

--- a/src/membership/discovery_source.cpp
+++ b/src/membership/discovery_source.cpp
@@ -15,13 +15,18 @@
 // Calls that fail in that time are made again after this, longer each time, and never in step with others'.
 constexpr Span kFirstPace = 150ms;
 constexpr Span kSlowestPace = 600ms;
+// Where lists are pushed, what discovery gets at its return counts at once: a call that does not come up is made
+// again well within the least time that a drain leaves, for as long as it takes.
+constexpr Span kPushedPace = 80ms;
+constexpr Span kPushedConnect = 150ms;
 // What can't be read is asked for anew, first soon, and less and less often where that never helps.
 constexpr Span kFirstUnread = 100ms;
 constexpr Span kSlowestUnread = 10s;
 
 }  // namespace
 
-ListWatch::ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Owner owner)
+ListWatch::ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Span connect_time,
+                     Owner owner)
     : request_(Platform::WatchRequest(version, PrintAddress(discovery))),
       owner_(std::move(owner)),
       stream_(loop, this),
@@ -35,12 +40,13 @@
       return stream_.open();  // told of a change, the module may have ended the watch
     });
   });
-  silence_.Start(kLongestSilence);
+  silence_.Start(std::min(connect_time, kLongestSilence));
   if (!stream_.Connect(discovery)) silence_.Start(0ms);
 }
 
 void ListWatch::OnConnected(bool ok) {
   if (!ok) return Broken("discovery could not be reached");
+  silence_.Start(kLongestSilence);
   stream_.Read();
   if (stream_.Write(request_) == Stream::Wrote::kBroken) Broken("the request could not be written");
 }
@@ -122,7 +128,7 @@
   // Which of the two watches an item is from shows in whether it is still the new one.
   const auto place = std::make_shared<ListWatch*>(nullptr);
   watch_ = std::make_unique<ListWatch>(
-      loop_, discovery_, version_,
+      loop_, discovery_, version_, pushed_ ? kPushedConnect : kLongestSilence,
       ListWatch::Owner{[this, place](std::string_view text) { TakeItem(text, *place != watch_.get()); },
                        [this, place](const char* why) {
                          if (*place == watch_.get()) return Broken(why);
@@ -159,9 +165,10 @@
 void DiscoverySource::Broken(const char* why) {
   Drop(watch_);
   counters_.Add("discovery_broken");
-  if (!pushed_ && Clock::now() >= soon_until_) return owner_.failed(why);
-  again_.Start(Spread(pace_));
+  const bool soon = Clock::now() < soon_until_;
+  if (pushed_ || soon) again_.Start(Spread(pushed_ ? kPushedPace : pace_));
   pace_ = std::min(pace_ * 3 / 2, kSlowestPace);
+  if (!soon) owner_.failed(why);
 }
 
 Span DiscoverySource::Spread(Span time) {
--- a/src/membership/discovery_source.h
+++ b/src/membership/discovery_source.h
@@ -24,7 +24,8 @@
     std::function<void(std::string_view)> item;  // whole; empty: only that the watch lives
     std::function<void(const char*)> broken;     // once; the watch may be destroyed after this returns
   };
-  ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Owner owner);
+  // Not up after `connect_time`: broken.
+  ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Span connect_time, Owner owner);
   void Close();
 
  private:
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -198,6 +198,32 @@
   CHECK(site.real[1]->requests == 0);
 }
 
+// Guards against a pace of calls that is slower than a drain allows: what the agent gets at its return counts at once.
+TEST_CASE("where lists are pushed an agent that is back is heard within a quarter of a second", "[watch]") {
+  WatchedSite site(Push);
+  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+  site.watch->Reply(Chunk(ListText(1, true, {ServerLine("s0", site.real[0]->address()),
+                                             ServerLine("s1", site.real[1]->address())}) +
+                          "\n"));
+  site.loop.Settle();
+  bool down = true;
+  site.discovery.script = [&](Party::Peer& peer) {
+    down ? peer.stream.Reset() : peer.Reply(kHead + Chunk(site.Drain() + "\n"));
+  };
+  site.watch->stream.Close();
+  for (const Span away : {Span(300ms), Span(8s), Span(60s)}) {
+    down = true;
+    for (auto& peer : site.discovery.peers) {
+      if (peer->stream.open()) peer->stream.Reset();
+    }
+    site.loop.Pass(away);
+    const auto before = site.sidecar->counters().Of("discovery_changes");
+    down = false;
+    site.loop.Pass(250ms);
+    CHECK(site.sidecar->counters().Of("discovery_changes") == before + 1);
+  }
+}
+
 // Guards against a start that hangs on a discovery that is away.
 TEST_CASE("where lists are pushed and none comes a process serves all the same within 10 s", "[watch]") {
   for (const bool refuses : {false, true}) {
