--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -694,6 +694,64 @@
   }
 }
 
+// The most by which a cold server's sends in a span go over what chance may add to its budget N, N + 2 sqrt(N) + 2,
+// where 25 instances of uneven traffic have a burst just when it starts and half of the warm ones fail. `told` is
+// the count of instances that each of them believes in.
+double MostOverBudget(int told, std::uint64_t seed) {
+  constexpr int kInstances = 25, kWarm = 20;
+  Settings s = BasicSettings();
+  s.balancers = told;
+  s.start_capacity = 0.13;
+  s.cold_time = 22 * kSecond;
+  s.fall_multiple = 4;
+  std::vector<Driver> drivers;
+  for (int i = 0; i < kInstances; ++i) {
+    drivers.emplace_back(s, seed * 100 + static_cast<std::uint64_t>(i));
+    drivers.back().List(Many(kWarm));
+  }
+  RequestId next = 1;
+  const auto run = [&](int steps, Micros every, bool failing) {
+    for (int step = 0; step < steps; ++step) {
+      for (size_t i = 0; i < drivers.size(); ++i) {
+        if (step % (4 + static_cast<int>(i) % 12) == 0) drivers[i].Arrive(next++, 2 * kSecond);
+        drivers[i].Advance(every);
+        EndDue(
+            &drivers[i],
+            [&](UpstreamId u) { return failing && u <= kWarm / 2 ? Outcome::kConnectFailed : Outcome::kOk; },
+            [](UpstreamId) { return 1.0; });
+      }
+    }
+  };
+  run(400, kSecond / 10, false);
+  double served = 0;
+  for (const Driver& d : drivers) served += static_cast<double>(d.sent_to.size());
+  const double full = served / 40 / kWarm;  // a second, at a warm one
+  for (Driver& d : drivers) d.List({Entry(99, d.now)}, ListUpdate::kChanges);
+  const Micros start = drivers[0].now;
+  run(150, kSecond / 25, true);
+  const std::vector<Micros> sends = SendTimes(drivers, 99);
+  double over = -1e9;
+  for (size_t i = 0; i < sends.size(); ++i) {
+    const double age = static_cast<double>(sends[i] - start) / static_cast<double>(s.cold_time);
+    const double budget = s.fall_multiple * full * (s.start_capacity + (1 - s.start_capacity) * age);
+    const auto end = std::lower_bound(sends.begin(), sends.end(), sends[i] + s.fall_time);
+    const double sent = static_cast<double>(end - sends.begin()) - static_cast<double>(i);
+    over = std::max(over, sent - (budget + 2 * std::sqrt(budget) + 2));
+  }
+  return over;
+}
+
+// The ramp is the fleet's: no peer says anything, each takes its part by the settings' count of instances. And a
+// control: where each ramps as if it were alone, the sum pushes the server over.
+TEST(ColdTest, TwentyFiveInstancesRampTogetherAndNotEachForItself) {
+  int broken_alone = 0;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    EXPECT_LE(MostOverBudget(25, seed), 0) << seed;
+    broken_alone += MostOverBudget(1, seed) > 0 ? 1 : 0;
+  }
+  EXPECT_EQ(broken_alone, 8);
+}
+
 // A release in a jam: what the warm ones took before it is the measure, not what gets through now.
 TEST(ColdTest, AJamIsNoMeasureOfWhatItMayGet) {
   constexpr int kInstances = 4, kWarm = 6, kPerSecond = 60;
