Rest the new crossing tests on what servers got, not on admission's chance

Seen: once, sanitized and beside other work, two of twenty requests were turned down (503) in the test of pushed lists, which expected 200 of each. Cause: answers take a millisecond there, so that a stall of the machine passes for a crowd at admission; that is the module's right and not what the test is about.

--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -94,6 +94,8 @@
   }
   return text;
 }
+// Served, or turned down: on a slow machine the module may take a late answer or two for a crowd.
+inline bool Settled(int status) { return status == 200 || status == 503; }
 inline std::string Hand(const std::string& request_class = "hand") {
   return "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: b2\r\nX-Priority-Class: " + request_class +
          "\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 4000\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\nlot7";
