Test that nine in ten of processes restarted together are ready within 10 s

Twenty processes, half with pushed lists, started, killed together and started again at their addresses, while discovery refuses every second call and never answers the others: at least eighteen are ready within 10 s each time. The tests' own twin of Replaced is gone.

--- a/tests/config/serve_test.cpp
+++ b/tests/config/serve_test.cpp
@@ -20,13 +20,6 @@
 
 namespace fs = std::filesystem;
 
-std::string Replaced(std::string text, const std::string& from, const std::string& to) {
-  for (size_t at = 0; (at = text.find(from, at)) != std::string::npos; at += to.size()) {
-    text.replace(at, from.size(), to);
-  }
-  return text;
-}
-
 TEST_CASE("two applications on one host, written and checked by the tool, each serve on loopback",
           "[serve]") {
   Loop loop;
@@ -122,6 +115,48 @@
   fs::remove_all(folder);
 }
 
+// Guards against a start that waits for discovery: killed together, all begin again at their addresses, and the
+// calls of every second one are refused, those of the others never answered; half have their lists pushed.
+TEST_CASE("nine in ten of the processes that are restarted together are ready within 10 s", "[serve]") {
+  Loop loop;
+  Party discovery(loop);
+  discovery.script = [&](Party::Peer& peer) {
+    if (discovery.requests % 2 == 0) peer.Answer(503, "");
+  };
+  const fs::path folder = fs::temp_directory_path() / ("umberdyke-restart-" + std::to_string(getpid()));
+  fs::create_directories(folder);
+  const std::string host = lab::OwnAddress();
+  constexpr int kProcesses = 20;
+  const auto address = [&](int i) { return host + ":" + std::to_string(8100 + i); };
+  const auto start = [&](int i) {
+    const std::string file = (folder / (std::to_string(i) + ".json")).string();
+    std::string text = ConfigText(discovery.address(), ListText(1, true, {ServerLine("s", "127.0.0.1:9")}));
+    text = Replaced(text, "127.0.0.1:0", address(i));
+    if (i % 2 == 0) text = Replaced(text, R"("discovery":"ask")", R"("discovery":"push")");
+    REQUIRE(files::WriteWhole(file, text).empty());
+    return std::make_unique<lab::Process>(std::vector<std::string>{UMBERDYKE_PROGRAM, "--config", file},
+                                          file + ".log");
+  };
+  const auto ready = [&](int i) {
+    Client client(loop, *ParseAddress(address(i)));
+    client.Send("GET /-/ready HTTP/1.1\r\nHost: s\r\n\r\n");
+    loop.RunUntil([&] { return !client.answers.empty() || client.ended; }, 50ms);
+    return !client.answers.empty() && client.answers[0].status == 200;
+  };
+  for (int life = 0; life < 2; ++life) {
+    std::vector<std::unique_ptr<lab::Process>> processes;
+    for (int i = 0; i < kProcesses; ++i) processes.push_back(start(i));
+    const Time end = Clock::now() + 10s;
+    std::vector<bool> are(kProcesses);
+    while (Clock::now() < end && std::count(are.begin(), are.end(), true) < kProcesses) {
+      for (int i = 0; i < kProcesses; ++i) are[i] = are[i] || ready(i);
+    }
+    INFO("life " << life);
+    CHECK(std::count(are.begin(), are.end(), true) >= kProcesses * 9 / 10);
+  }  // killed here
+  fs::remove_all(folder);
+}
+
 TEST_CASE("a file that breaks a rule starts no sidecar, and --check tells every finding", "[serve]") {
   config::Findings none;
   const auto app =
