--- a/examples/party.h
+++ b/examples/party.h
@@ -58,7 +58,8 @@
   }
   std::string error;  // empty, or why it does not listen
   std::string address() const { return PrintAddress(listener_.address()); }
-  // From now on connections are not read until somebody reads their streams, and little waits there meanwhile.
+  // From now on connections are not read until somebody reads their streams, and little waits there
+  // meanwhile.
   void Hold() {
     holds_ = true;
     const int little = 2048;
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -88,7 +88,7 @@
 constexpr double kWaitShare = 0.45;   // and for how much of their time: from half on an unsent one costs more
 constexpr Micros kFirstAskDelay = 500'000;
 constexpr Micros kLongestAsk = 1'500'000;  // what discovery tells when it is back counts 6 s later
-constexpr double kRateTime = 8e6;   // memory of the rate that warm upstreams take
+constexpr double kRateTime = 8e6;          // memory of the rate that warm upstreams take
 constexpr double kRateFall = 60e6;  // and how long it lasts when they take less: a jam is no measure of them
 constexpr double kColdShare = 0.5;  // a cold one is sent this part of its least share of that rate
 constexpr double kColdRule = 0.75;  // and more where warm ones are lost, up to this part of the rule's figure
@@ -653,9 +653,7 @@
 
   Micros StallTime() const { return std::max(kMinStall, static_cast<Micros>(kStallFactor * latency_)); }
 
-  Micros CheckDelay(const Held& held) const {
-    return std::min(held.deadline - Guard() - now_, StallTime());
-  }
+  Micros CheckDelay(const Held& held) const { return std::min(held.deadline - Guard() - now_, StallTime()); }
 
   void Dispatch(RequestId id, Held& held) {
     if (held.asking.until > 0) return;
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -107,10 +107,10 @@
   bool ending_ = false;     // all of which has been given
   bool continued_ = false;
   Framing framing_;
-  size_t unwritten_ = 0;  // when it was last looked at
-  bool closing_ = false;       // with the answer that is due
+  size_t unwritten_ = 0;        // when it was last looked at
+  bool closing_ = false;        // with the answer that is due
   bool rests_no_more_ = false;  // and as soon as it has nothing to answer
-  bool waited_ = false;        // its time was up while bytes waited unread
+  bool waited_ = false;         // its time was up while bytes waited unread
   bool answered_ = false;
   Time rested_ = Clock::now();
   Time slowest_{};  // for the rest of the request's body
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -30,8 +30,9 @@
   std::string bytes;
 };
 
-// Guards against a reset that passes for an end: where one arrives behind bytes that are read in the same turn,
-// libuv tells an end for it. The socket knows: it gives nothing more after an end, and an error after a reset.
+// Guards against a reset that passes for an end: where one arrives behind bytes that are read in the same
+// turn, libuv tells an end for it. The socket knows: it gives nothing more after an end, and an error after a
+// reset.
 bool EndedWell(const uv_stream_t* stream) {
   uv_os_fd_t fd = -1;
   char byte = 0;
@@ -315,7 +316,8 @@
 void Stream::Abort() {
   uv_os_fd_t fd = -1;
   int held_back = 0;
-  const bool open = handle_ != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0;
+  const bool open =
+      handle_ != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0;
   if (open && ioctl(fd, SIOCOUTQ, &held_back) == 0 && held_back > 0) return Reset();
   Close();
 }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -45,8 +45,8 @@
   void Stop() { uv_stop(&loop_); }
   // Runs until `done` holds or `most` has passed; says whether it holds. For tests and tools.
   bool RunUntil(const std::function<bool()>& done, Span most);
-  // For tests, whose clock it is: lets so much time pass for this loop's timers and the process's clock without
-  // waiting, in small steps, after each of which all that can be read or written is.
+  // For tests, whose clock it is: lets so much time pass for this loop's timers and the process's clock
+  // without waiting, in small steps, after each of which all that can be read or written is.
   void Pass(Span time);
   // Runs what is ready, without waiting and without time passing.
   void Settle();
--- a/src/membership/discovery_source.cpp
+++ b/src/membership/discovery_source.cpp
@@ -15,8 +15,8 @@
 // Calls that fail in that time are made again after this, longer each time, and never in step with others'.
 constexpr Span kFirstPace = 150ms;
 constexpr Span kSlowestPace = 600ms;
-// Where lists are pushed, what discovery gets at its return counts at once: a call that does not come up is made
-// again well within the least time that a drain leaves, for as long as it takes.
+// Where lists are pushed, what discovery gets at its return counts at once: a call that does not come up is
+// made again well within the least time that a drain leaves, for as long as it takes.
 constexpr Span kPushedPace = 80ms;
 constexpr Span kPushedConnect = 150ms;
 // What can't be read is asked for anew, first soon, and less and less often where that never helps.
@@ -154,7 +154,8 @@
   owner_.told(*change, change->full ? ListUpdate::kComplete : ListUpdate::kChanges);
 }
 
-// What it said may never be said again: discovery is asked once more for all since the last that could be read.
+// What it said may never be said again: discovery is asked once more for all since the last that could be
+// read.
 void DiscoverySource::Unreadable(bool from_old) {
   counters_.Add("discovery_unreadable");
   if (from_old || anew_.running()) return;
@@ -172,8 +173,8 @@
 }
 
 Span DiscoverySource::Spread(Span time) {
-  return time / 2 + std::chrono::duration_cast<Span>(
-                        time * std::uniform_real_distribution<double>(0, 1)(random_));
+  return time / 2 +
+         std::chrono::duration_cast<Span>(time * std::uniform_real_distribution<double>(0, 1)(random_));
 }
 
 void DiscoverySource::Drop(std::unique_ptr<ListWatch>& watch) {
--- a/src/membership/discovery_source.h
+++ b/src/membership/discovery_source.h
@@ -1,9 +1,9 @@
 // The platform's discovery: a watch over HTTP.
 //
-// One clock of silence: whatever discovery has to tell counts as told 6 s after it had it and could be reached.
-// A watch from which nothing whole has come for longer than its beat is broken, and for those 6 s after the last
-// word this source asks again by itself, soon; from then on, when to ask is the module's to say. Where lists are
-// pushed, what is to be told counts at once, so that it goes on asking soon.
+// One clock of silence: whatever discovery has to tell counts as told 6 s after it had it and could be
+// reached. A watch from which nothing whole has come for longer than its beat is broken, and for those 6 s
+// after the last word this source asks again by itself, soon; from then on, when to ask is the module's to
+// say. Where lists are pushed, what is to be told counts at once, so that it goes on asking soon.
 #ifndef UMBERDYKE_MEMBERSHIP_DISCOVERY_SOURCE_H_
 #define UMBERDYKE_MEMBERSHIP_DISCOVERY_SOURCE_H_
 
@@ -77,10 +77,11 @@
   std::int64_t version_;
   bool wanted_ = false;
   std::unique_ptr<ListWatch> watch_;
-  std::unique_ptr<ListWatch> old_;  // at the address before the last move, or one that told what can't be read
-  Time soon_until_{};               // calls that fail are made again by this source until then
-  Span pace_{};                     // of these
-  Span unread_pace_{};              // and of those for what could not be read
+  std::unique_ptr<ListWatch>
+      old_;             // at the address before the last move, or one that told what can't be read
+  Time soon_until_{};   // calls that fail are made again by this source until then
+  Span pace_{};         // of these
+  Span unread_pace_{};  // and of those for what could not be read
   Timer again_;
   Timer anew_;
 };
--- a/src/platform/list_cutter.h
+++ b/src/platform/list_cutter.h
@@ -1,5 +1,5 @@
-// Discovery's answer cut into what it is made of, however the bytes come: objects, on a line of their own or over
-// several, and the empty lines between them.
+// Discovery's answer cut into what it is made of, however the bytes come: objects, on a line of their own or
+// over several, and the empty lines between them.
 #ifndef UMBERDYKE_PLATFORM_LIST_CUTTER_H_
 #define UMBERDYKE_PLATFORM_LIST_CUTTER_H_
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -12,8 +12,8 @@
 
 constexpr Span kSilence = 250ms;   // within an answer that is held whole: what goes on longer is spoilt
 constexpr Span kHoldBack = 100ms;  // for the end of an answer of unknown length, before it is passed on
-constexpr Span kSettled = 25ms;      // a second answer comes within this of the first
-constexpr Span kNoisy = 60s;         // servers that sent more than their answers are expected to for so long
+constexpr Span kSettled = 25ms;    // a second answer comes within this of the first
+constexpr Span kNoisy = 60s;       // servers that sent more than their answers are expected to for so long
 constexpr Span kNoProgress = 10s;  // of a long body, in either direction
 
 }  // namespace
@@ -374,9 +374,9 @@
 
 // Guards against the rest of an earlier answer being read as the next one: a connection that has more to read
 // is closed, and what comes some milliseconds late has come on one that has settled. The newest of those, so
-// that the others may rest until they are swept. One that has not settled serves where there is no other, lest
-// calls that come one right after another cost a new connection each; but not while servers are known to send
-// more than their answers.
+// that the others may rest until they are swept. One that has not settled serves where there is no other,
+// lest calls that come one right after another cost a new connection each; but not while servers are known to
+// send more than their answers.
 std::unique_ptr<RealServers::Connection> RealServers::TakeWarm(ServerId server, const Address& address) {
   const auto it = idle_.find(server);
   if (it == idle_.end()) return nullptr;
@@ -384,8 +384,8 @@
   const Time now = Clock::now();
   const bool noisy = excess_seen_ && now - *excess_seen_ < kNoisy;
   while (!idle.empty()) {
-    const auto settled = std::find_if(idle.rbegin(), idle.rend(),
-                                      [&](const auto& c) { return now - c->rested >= kSettled; });
+    const auto settled =
+        std::find_if(idle.rbegin(), idle.rend(), [&](const auto& c) { return now - c->rested >= kSettled; });
     if (settled == idle.rend() && noisy) return nullptr;
     const auto at = settled == idle.rend() ? std::prev(idle.end()) : std::prev(settled.base());
     std::unique_ptr<Connection> connection = std::move(*at);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -22,7 +22,7 @@
 // a while, as a close may cross a request, and closed in time for the notice of two seconds.
 constexpr Span kLeaveAlone = 1s;
 constexpr Span kListWait = 1500ms;  // a process that takes over serves once discovery has told, or after this
-constexpr Span kPushedWait = 4s;      // and one whose lists are pushed, after this
+constexpr Span kPushedWait = 4s;    // and one whose lists are pushed, after this
 constexpr Span kListenAgain = 50ms;  // while another's process holds the address
 constexpr Span kIdleSweep = 100ms;
 constexpr Span kLastAccepts = 5ms;  // while connections still wait at an end
@@ -45,20 +45,21 @@
           loop, flows_, counters_, [this](FlowId flow) { LastCall(flow); },
           [this](int request_class) { book_.Refused(request_class); }),
       route_(entry_, config_.settings),
-      send_(servers_, route_, platform_, tally_, counters_, config_.settings.parallel_attempts,
-            [this](FlowId flow) { return Wanted(flow); },
-            [this](AttemptResult result) { AttemptEnded(std::move(result)); },
-            {[this](FlowId id) {
-               if (Flow* flow = flows_.Find(id); flow != nullptr) send_.Pump(*flow);
-             },
-             [this](FlowId flow) { decisions_.TellBodyBegun(flow); },
-             [this](FlowId id) {
-               if (const Flow* flow = flows_.Find(id); flow != nullptr) decisions_.TellBodyOut(*flow);
-             },
-             [this](FlowId flow, int attempt, const Message& head) { AnswerBegins(flow, attempt, head); },
-             [this](FlowId flow, int attempt, std::string piece) {
-               AnswerPiece(flow, attempt, std::move(piece));
-             }}),
+      send_(
+          servers_, route_, platform_, tally_, counters_, config_.settings.parallel_attempts,
+          [this](FlowId flow) { return Wanted(flow); },
+          [this](AttemptResult result) { AttemptEnded(std::move(result)); },
+          {[this](FlowId id) {
+             if (Flow* flow = flows_.Find(id); flow != nullptr) send_.Pump(*flow);
+           },
+           [this](FlowId flow) { decisions_.TellBodyBegun(flow); },
+           [this](FlowId id) {
+             if (const Flow* flow = flows_.Find(id); flow != nullptr) decisions_.TellBodyOut(*flow);
+           },
+           [this](FlowId flow, int attempt, const Message& head) { AnswerBegins(flow, attempt, head); },
+           [this](FlowId flow, int attempt, std::string piece) {
+             AnswerPiece(flow, attempt, std::move(piece));
+           }}),
       relay_(platform_, config_.settings, counters_),
       book_(loop, flows_, platform_, decisions_, tally_, counters_),
       listener_(loop, [this] { AcceptWaiting(); }),
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -137,9 +137,9 @@
   std::optional<int> inherited_;  // the predecessor's listening socket, until this process can serve
   int edge_limit_;
   std::unordered_map<EdgeConnection*, std::unique_ptr<EdgeConnection>> edges_;
-  int watch_failures_ = 0;  // in a row
+  int watch_failures_ = 0;    // in a row
   bool awaits_list_ = false;  // where lists are pushed, they hold from the first moment: none serves before
-  bool running_ = false;  // no longer in its constructor
+  bool running_ = false;      // no longer in its constructor
   bool accept_waits_ = false;
   bool closing_ = false;  // told to end, and new connections come no more
   Time answer_by_{};      // shortly before the end is forced, all that was taken has its answer
--- a/tests/config/serve_test.cpp
+++ b/tests/config/serve_test.cpp
@@ -115,8 +115,9 @@
   fs::remove_all(folder);
 }
 
-// Guards against a start that waits for discovery: killed together, all begin again at their addresses, and the
-// calls of every second one are refused, those of the others never answered; half have their lists pushed.
+// Guards against a start that waits for discovery: killed together, all begin again at their addresses, and
+// the calls of every second one are refused, those of the others never answered; half have their lists
+// pushed.
 TEST_CASE("nine in ten of the processes that are restarted together are ready within 10 s", "[serve]") {
   Loop loop;
   Party discovery(loop);
@@ -184,8 +185,7 @@
   CHECK(run(good, {"--version"}) == 0);
   fs::remove(path);
   const std::vector<std::string> check = {UMBERDYKE_PROGRAM, "--check", "--config", path.string()};
-  CHECK(lab::Process(check, path.string() + ".log").Ended() !=
-        std::optional(0));
+  CHECK(lab::Process(check, path.string() + ".log").Ended() != std::optional(0));
   fs::remove(path.string() + ".log");
 }
 
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -694,9 +694,9 @@
   }
 }
 
-// The most by which a cold server's sends in a span go over what chance may add to its budget N, N + 2 sqrt(N) + 2,
-// where 25 instances of uneven traffic have a burst just when it starts and half of the warm ones fail. `told` is
-// the count of instances that each of them believes in.
+// The most by which a cold server's sends in a span go over what chance may add to its budget N, N + 2
+// sqrt(N) + 2, where 25 instances of uneven traffic have a burst just when it starts and half of the warm
+// ones fail. `told` is the count of instances that each of them believes in.
 double MostOverBudget(int told, std::uint64_t seed) {
   constexpr int kInstances = 25, kWarm = 20;
   Settings s = BasicSettings();
@@ -741,8 +741,8 @@
   return over;
 }
 
-// The ramp is the fleet's: no peer says anything, each takes its part by the settings' count of instances. And a
-// control: where each ramps as if it were alone, the sum pushes the server over.
+// The ramp is the fleet's: no peer says anything, each takes its part by the settings' count of instances.
+// And a control: where each ramps as if it were alone, the sum pushes the server over.
 TEST(ColdTest, TwentyFiveInstancesRampTogetherAndNotEachForItself) {
   int broken_alone = 0;
   for (std::uint64_t seed = 1; seed <= 8; ++seed) {
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -1,5 +1,5 @@
-// The moments in which one side ends something while the other still owes or is owed: each crossing is forced, by
-// bytes held back, gates, and a clock that the test moves on. docs/design.md lists them.
+// The moments in which one side ends something while the other still owes or is owed: each crossing is
+// forced, by bytes held back, gates, and a clock that the test moves on. docs/design.md lists them.
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -12,7 +12,8 @@
 namespace umberdyke::net {
 namespace {
 
-// One more class, unsafe to repeat, whose late answers still earn: an attempt of it is neither called off nor cut.
+// One more class, unsafe to repeat, whose late answers still earn: an attempt of it is neither called off nor
+// cut.
 void AddOnce(std::string* text) {
   *text = Replaced(*text, R"("request_classes":[)",
                    R"("request_classes":[{"name":"once","semantics":"side_effect","target_us":600000,
@@ -26,9 +27,9 @@
 
 // Guards against a cut answer passed on as whole: bytes and the reset behind them are read in one turn.
 TEST_CASE("a reset right behind the bytes of an answer without a length is no end of it", "[crossings]") {
-  for (const std::string& part : {std::string("HTTP/1.1 200 OK\r\n\r\nhalf of it"),
-                                  "HTTP/1.1 200 OK\r\n\r\n" + std::string(5'000, 'x'),
-                                  std::string("HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n")}) {
+  for (const std::string& part :
+       {std::string("HTTP/1.1 200 OK\r\n\r\nhalf of it"), "HTTP/1.1 200 OK\r\n\r\n" + std::string(5'000, 'x'),
+        std::string("HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n")}) {
     Site site(1);
     site.Script([&](Party::Peer& peer) {
       peer.Reply(part);
@@ -55,8 +56,10 @@
   }
 }
 
-// Guards against the answer to one request served for another: a copy comes when the connection is in use again.
-TEST_CASE("while servers send answers twice no connection is used again before it has settled", "[crossings]") {
+// Guards against the answer to one request served for another: a copy comes when the connection is in use
+// again.
+TEST_CASE("while servers send answers twice no connection is used again before it has settled",
+          "[crossings]") {
   Site site(1);
   Party::Peer* peer = nullptr;
   const auto answer = [&](const std::string& body) { peer->Answer(200, body); };
@@ -106,8 +109,8 @@
   CHECK(site.sidecar->counters().Of("attempts_spoilt") == 0);
 }
 
-// Guards against a second effect of what is unsafe to repeat: reset after its last byte it may have run, and where
-// no connection comes up it surely never did.
+// Guards against a second effect of what is unsafe to repeat: reset after its last byte it may have run, and
+// where no connection comes up it surely never did.
 TEST_CASE("an unsafe request is sent again where it never ran, and not where its server reset it",
           "[crossings]") {
   for (const bool refused : {false, true}) {
@@ -141,7 +144,8 @@
 
 // --- What a configuration that is read anew may change ---
 
-// Guards against one customer's classes, methods or limits for another's: a flow, and all flows, keep to one set.
+// Guards against one customer's classes, methods or limits for another's: a flow, and all flows, keep to one
+// set.
 TEST_CASE("a reload with other classes and tenants moves the watch and changes nothing else", "[crossings]") {
   Site site(1, 1024, NoEnvironment(), AddOnce);
   Party::Peer* held = nullptr;
@@ -164,8 +168,9 @@
   site.watch = watch;
   Party other(site.loop);
   other.script = [](Party::Peer& peer) { peer.Answer(200, "ran twice"); };
-  site.Tell(ListText(1, true, {ServerLine("s0", site.real[0]->address(), "draining"),
-                               ServerLine("other", other.address())}));
+  site.Tell(ListText(
+      1, true,
+      {ServerLine("s0", site.real[0]->address(), "draining"), ServerLine("other", other.address())}));
   site.loop.Settle();
   held->stream.Reset();  // may have run
   REQUIRE(site.Until([&] { return client->answers.size() == 1; }));
@@ -256,7 +261,8 @@
   bool drained = false;
 };
 
-// Guards against an end that is forced on what was taken: the client's time goes on for longer than the process.
+// Guards against an end that is forced on what was taken: the client's time goes on for longer than the
+// process.
 TEST_CASE("what a hung server holds across an end is answered before the end is forced", "[crossings]") {
   ShortSite site;  // its server never answers
   const auto before = site.Connect();
@@ -343,7 +349,8 @@
   CHECK(site.drained);
 }
 
-// Guards against a reset that takes the last answer along: more comes than was asked for, unread at the close.
+// Guards against a reset that takes the last answer along: more comes than was asked for, unread at the
+// close.
 TEST_CASE("the last answer arrives whole though bytes cross the close", "[crossings]") {
   Site site(1);
   const std::string body(50'000, 'x');
@@ -395,7 +402,8 @@
   return many;
 }
 
-// Guards against work for nobody: the close stands behind bytes that are not read, and the request waits for a server.
+// Guards against work for nobody: the close stands behind bytes that are not read, and the request waits for
+// a server.
 TEST_CASE("a client that closes while its request waits for a server gets no attempt", "[crossings]") {
   for (const bool pipelined : {false, true}) {
     Site site(0);
@@ -443,7 +451,8 @@
   }
 }
 
-// A listening socket that takes no connection until it is asked to: one waits in its queue, others do not come up.
+// A listening socket that takes no connection until it is asked to: one waits in its queue, others do not
+// come up.
 struct Gate {
   Gate() {
     fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -520,8 +529,8 @@
   const auto client = site.Connect();
   client->Send(Once("waits", "4000"));
   REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
-  site.Tell(ListText(3, false, {ServerLine("late", gate.address, "draining"),
-                                ServerLine("s0", site.real[0]->address())}));
+  site.Tell(ListText(
+      3, false, {ServerLine("late", gate.address, "draining"), ServerLine("s0", site.real[0]->address())}));
   REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 2; }));
   gate.Open();
   REQUIRE(site.Until([&] { return client->answers.size() == 1; }));
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -38,7 +38,8 @@
 };
 
 // Guards against bytes that pass for news: the head of a reconnect, a part of an object.
-TEST_CASE("a watch that falls silent is opened anew in time, also where the reconnects say nothing", "[watch]") {
+TEST_CASE("a watch that falls silent is opened anew in time, also where the reconnects say nothing",
+          "[watch]") {
   const std::vector<std::pair<const char*, std::string>> silences = {
       {"nothing", ""}, {"a head", kHead}, {"a part", kHead + Chunk("{\"version\":2,\"full\":false,\"ser")}};
   for (const auto& [name, said] : silences) {
@@ -64,7 +65,8 @@
   }
 }
 
-// Guards against a break that is charged with a wait of its own: a watch that is reset or ends is opened at once.
+// Guards against a break that is charged with a wait of its own: a watch that is reset or ends is opened at
+// once.
 TEST_CASE("a watch that ends instead of telling is opened anew soon", "[watch]") {
   for (const bool reset : {false, true}) {
     WatchedSite site;
@@ -142,10 +144,12 @@
 
 // Guards against lists in a form that the page allows: in pieces, on several lines, with braces in texts.
 TEST_CASE("objects are cut out of any bytes, whole and in order", "[watch]") {
-  const std::string indented = "{\n  \"version\": 4,\n  \"full\": false,\n\n  \"servers\": [\n    {}\n  ]\n}\n";
+  const std::string indented =
+      "{\n  \"version\": 4,\n  \"full\": false,\n\n  \"servers\": [\n    {}\n  ]\n}\n";
   const std::string odd = R"({"a":"}{\\","b":"\"}"})";
   const std::string all = "\n" + indented + "\r\n" + odd + "\n" + odd + odd + "  \n no JSON\n{\"cut\":";
-  const std::vector<std::string> expected = {indented.substr(0, indented.size() - 1), odd, odd, odd, " no JSON"};
+  const std::vector<std::string> expected = {indented.substr(0, indented.size() - 1), odd, odd, odd,
+                                             " no JSON"};
   for (const size_t piece : {size_t{1}, size_t{2}, size_t{7}, all.size()}) {
     ListCutter cutter;
     std::vector<std::string> items;
@@ -200,13 +204,15 @@
   CHECK(site.real[1]->requests == 0);
 }
 
-// Guards against a pace of calls that is slower than a drain allows: what the agent gets at its return counts at once.
+// Guards against a pace of calls that is slower than a drain allows: what the agent gets at its return counts
+// at once.
 TEST_CASE("where lists are pushed an agent that is back is heard within a quarter of a second", "[watch]") {
   WatchedSite site(Push);
   REQUIRE(site.Until([&] { return site.watch != nullptr; }));
-  site.watch->Reply(Chunk(ListText(1, true, {ServerLine("s0", site.real[0]->address()),
-                                             ServerLine("s1", site.real[1]->address())}) +
-                          "\n"));
+  site.watch->Reply(
+      Chunk(ListText(1, true,
+                     {ServerLine("s0", site.real[0]->address()), ServerLine("s1", site.real[1]->address())}) +
+            "\n"));
   site.loop.Settle();
   bool down = true;
   site.discovery.script = [&](Party::Peer& peer) {
