Write the set-up of the late-connection tests once

Need: three tests repeated how a request comes to wait for a connection that is coming up. Change: SendToLate and AwaitConnects serve them; every assertion stays.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -504,20 +504,29 @@
   std::string address;
 };
 
+// Connections may take nearly as long to come up as a client waits.
+void AwaitConnects(std::string* text) {
+  *text = Replaced(*text, "\"connect_timeout_us\":150000", "\"connect_timeout_us\":3900000");
+  AddOnce(text);
+}
+
+// A client whose request waits for the connection to the only ready server, which stands behind the gate.
+std::unique_ptr<Client> SendToLate(Site* site, const Gate& gate, const std::string& behind = "") {
+  REQUIRE(site->Until([&] { return site->watch != nullptr; }));
+  site->Tell(ListText(2, false, {ServerLine("late", gate.address)}));
+  REQUIRE(site->Until([&] { return site->sidecar->counters().Of("discovery_changes") == 1; }));
+  auto client = site->Connect();
+  client->Send(Once("waits", "4000") + behind);
+  REQUIRE(site->Until([&] { return site->sidecar->counters().Of("connections_opened") == 1; }));
+  return client;
+}
+
 // Guards against a first byte for nobody on a connection that came up late (SYNs come again after a second).
 TEST_CASE("a client that closes while a connection comes up gets nothing sent on it", "[crossings]") {
   for (const bool pipelined : {false, true}) {
     Gate gate;
-    Site site(0, 1024, NoEnvironment(), [&](std::string* text) {
-      *text = Replaced(*text, "\"connect_timeout_us\":150000", "\"connect_timeout_us\":3900000");
-      AddOnce(text);
-    });
-    REQUIRE(site.Until([&] { return site.watch != nullptr; }));
-    site.Tell(ListText(2, false, {ServerLine("late", gate.address)}));
-    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
-    const auto client = site.Connect();
-    client->Send(Once("waits", "4000") + (pipelined ? ManyBehind() : ""));
-    REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
+    Site site(0, 1024, NoEnvironment(), AwaitConnects);
+    const auto client = SendToLate(&site, gate, pipelined ? ManyBehind() : "");
     site.loop.Settle();
     client->stream.Close();
     site.loop.Settle();
@@ -533,17 +542,11 @@
 TEST_CASE("a connection that comes up for a server that drains by then is not used", "[crossings]") {
   Gate gate;
   Site site(1, 1024, NoEnvironment(), [&](std::string* text) {
-    *text = Replaced(*text, "\"connect_timeout_us\":150000", "\"connect_timeout_us\":3900000");
+    AwaitConnects(text);
     *text = Replaced(*text, "\"state\":\"ready\"", "\"state\":\"draining\"");
-    AddOnce(text);
   });
   site.Script([](Party::Peer& peer) { peer.Answer(200, "elsewhere"); });
-  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
-  site.Tell(ListText(2, false, {ServerLine("late", gate.address)}));
-  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
-  const auto client = site.Connect();
-  client->Send(Once("waits", "4000"));
-  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
+  const auto client = SendToLate(&site, gate);
   site.Tell(ListText(
       3, false, {ServerLine("late", gate.address, "draining"), ServerLine("s0", site.real[0]->address())}));
   REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 2; }));
@@ -556,16 +559,8 @@
 // And its sister: a connection that comes up later than a second serves where the client is still there.
 TEST_CASE("a connection that comes up late is used by a client that waits", "[crossings]") {
   Gate gate;
-  Site site(0, 1024, NoEnvironment(), [&](std::string* text) {
-    *text = Replaced(*text, "\"connect_timeout_us\":150000", "\"connect_timeout_us\":3900000");
-    AddOnce(text);
-  });
-  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
-  site.Tell(ListText(2, false, {ServerLine("late", gate.address)}));
-  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
-  const auto client = site.Connect();
-  client->Send(Once("waits", "4000"));
-  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
+  Site site(0, 1024, NoEnvironment(), AwaitConnects);
+  const auto client = SendToLate(&site, gate);
   gate.Open();
   std::string brought;
   CHECK(site.loop.RunUntil([&] { return !(brought += gate.Brought()).empty(); }, 3s));
