Look for the close of a client whose connection is not read

Seen: a request that was partly out went on to its server, whole, after its client had closed, where more than 16 KiB were pipelined behind it. The same on paper for a long body whose window is full. Ruled out: the send path; EdgeConnection::Left tells the truth when it is asked (POLLRDHUP), but between two attempts nobody asks. At fault: EdgeConnection::OnData and TakeMore stop reading, and the close is learned by reading alone. Change: a connection that is not read while its request is out looks for the close itself every 40 ms (NotRead, Late), and ends the flow by the one way that there is (OnGone). Test: 'a request that is partly out when its client closes' now also behind pipelined input; seen to fail on the code before (its server got the request) and to pass with the change.

--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -17,6 +17,7 @@
 constexpr Span kLinger = 400ms;           // for the other side to read the last answer and close
 constexpr Span kLingerLong = 2s;          // where it is still sending a body that nobody wants
 constexpr Span kFirstRequest = 400ms;     // a connection brings something by then, or is spared first
+constexpr Span kLookAgain = 40ms;         // for the close of a connection that is not read
 constexpr size_t kMostAhead = 16 * 1024;  // input kept for later while a request is out
 
 }  // namespace
@@ -36,7 +37,7 @@
 }
 
 bool EdgeConnection::Accept(Listener& listener) {
-  if (!stream_.Accept(listener.raw())) return false;
+  if (!stream_.Accept(listener)) return false;
   stream_.Read();
   patience_.Start(kSlowest);
   return true;
@@ -53,10 +54,22 @@
   if (state_ == State::kReading || state_ == State::kTaking) {
     Advance();
   } else if (input_.size() > kMostAhead) {
-    stream_.Pause();
+    PauseReading();
   }
 }
 
+// The request that is out, or its body, waits while more has come than is read: a close behind that would go
+// unread as well, and is looked for.
+bool EdgeConnection::NotRead() const {
+  if (state_ == State::kTaking) return body_.size() >= passing_.window();
+  return state_ == State::kBusy && input_.size() > kMostAhead;
+}
+
+void EdgeConnection::PauseReading() {
+  stream_.Pause();
+  if (NotRead()) patience_.Start(kLookAgain);
+}
+
 void EdgeConnection::Advance() {
   const bool takes = state_ == State::kReading || state_ == State::kTaking;
   if (!takes || !stream_.open() || input_.empty()) return;
@@ -112,9 +125,8 @@
     patience_.Stop();
     parser_.Take();
     state_ = State::kBusy;
-  } else if (body_.size() >= passing_.window()) {
-    patience_.Stop();  // it is not the client that waits
-    stream_.Pause();
+  } else if (NotRead()) {
+    PauseReading();  // it is not the client that waits
   } else {
     Credit(body_.size() - before);
   }
@@ -171,6 +183,7 @@
   if (!stream_.open()) return false;
   closing_ = closing_ || !keep_alive;
   state_ = State::kWriting;
+  patience_.Stop();
   framing_ = framing;
   answering_ = true;
   passing_.Begin();
@@ -254,6 +267,7 @@
     if (unwritten_ >= before) return owner_.OnGone(*this);
     return patience_.Start(kLongestWrite);  // slowly, but it reads
   }
+  if (NotRead()) return Left() ? owner_.OnGone(*this) : patience_.Start(kLookAgain);
   if (state_ != State::kReading && state_ != State::kTaking) return;
   // The loop's timers run before it reads: what waits there is looked at first, once.
   if (!stream_.Quiet() && !std::exchange(waited_, true)) return patience_.Start(0ms);
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -89,6 +89,8 @@
   void EndPassing();
   void Finish();
   void Linger(Span most);
+  void PauseReading();
+  bool NotRead() const;
   void Late();
   bool Write(std::string bytes);
 
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -568,18 +568,21 @@
 
 // Guards against a request that reaches its server after its client has gone: its last bytes are held back.
 TEST_CASE("a request that is partly out when its client closes never comes whole", "[crossings]") {
-  Site site(1, 1024, NoEnvironment(), AddOnce);
-  site.real[0]->Hold();
-  const auto client = site.Connect();
-  client->Send(Once("held", "4000", std::string(60'000, 'x')));
-  REQUIRE(site.Until([&] { return !site.real[0]->peers.empty(); }));
-  site.loop.Settle();
-  client->stream.Close();
-  site.loop.Settle();
-  Party::Peer& peer = *site.real[0]->peers[0];
-  peer.stream.Read();
-  REQUIRE(site.Until([&] { return peer.ended; }));
-  CHECK(site.Requests() == 0);
+  for (const bool pipelined : {false, true}) {
+    Site site(1, 1024, NoEnvironment(), AddOnce);
+    site.real[0]->Hold();
+    const auto client = site.Connect();
+    client->Send(Once("held", "4000", std::string(60'000, 'x')) + (pipelined ? ManyBehind() : ""));
+    REQUIRE(site.Until([&] { return !site.real[0]->peers.empty(); }));
+    site.loop.Settle();
+    client->stream.Close();
+    site.loop.Pass(100ms);
+    INFO(pipelined);
+    Party::Peer& peer = *site.real[0]->peers[0];
+    peer.stream.Read();
+    REQUIRE(site.Until([&] { return peer.ended; }));
+    CHECK(site.Requests() == 0);
+  }
 }
 
 }  // namespace
