Tell a server the time that is left when its request goes out

Seen: an attempt whose connection came up 1.5 s late told its server 3,989 ms of a client's 4,000 ms. Ruled out: the reused connection, whose request goes out at once. At fault: SendOut::operator() wrote the request's text before the connection was asked for; RealServers kept it. Change: RealServers asks for the text right before its first byte goes out, with the time left then; whether the request is still wanted is the same question (ExchangeEvents::request replaces may_begin and the kept text).

--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -12,13 +12,14 @@
   ++flow.open;
   counters_.Add("attempts_sent");
   const std::pair<FlowId, int> key(flow.id, attempt);
-  const auto wait = std::chrono::floor<std::chrono::milliseconds>(routed.wait);
   const bool fed = flow.request.long_body;
   INVARIANT(!flow.body_left, counters_);
   flow.wait = routed.wait;
   ExchangeEvents events;
-  events.may_begin = [this, id = flow.id, server = routed.server] {
-    return route_.Open(server) && wanted_(id);
+  events.request = [this, id = flow.id, server = routed.server](Span left) -> std::optional<std::string> {
+    const auto time = std::chrono::floor<std::chrono::milliseconds>(left);
+    const Flow* wanted = route_.Open(server) && time.count() > 0 ? wanted_(id) : nullptr;
+    return wanted == nullptr ? std::nullopt : std::optional(platform_.RequestFor(wanted->request, time));
   };
   events.sent = [this, id = flow.id, fed] { Sent(id, fed); };
   if (fed) events.room = [this, id = flow.id] { passing_.room(id); };
@@ -29,9 +30,8 @@
     const Outcome outcome = OutcomeOf(end);
     done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
   };
-  std::string request = platform_.RequestFor(flow.request, wait);
   const ExchangeId exchange =
-      servers_.Start(routed.server, routed.address, std::move(request), routed.wait, std::move(events), fed);
+      servers_.Start(routed.server, routed.address, routed.wait, std::move(events), fed);
   attempts_[key] = {exchange, routed.server, Clock::now()};
 }
 
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -27,7 +27,7 @@
 class SendOut {
  public:
   using Done = std::function<void(AttemptResult)>;
-  using Wanted = std::function<bool(FlowId)>;  // its client is still there
+  using Wanted = std::function<const Flow*(FlowId)>;  // null where its client has left
   struct Passing {
     std::function<void(FlowId)> room;         // for more of a long body
     std::function<void(FlowId)> body_begins;  // a piece of a long body has left: it is not kept
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -43,7 +43,6 @@
   Exchange(RealServers& owner, ExchangeId i) : id(i), timer(owner.loop_, [&owner, i] { owner.Late(i); }) {}
 
   const ExchangeId id;
-  std::string request;
   ExchangeEvents events;
   Time started{};
   Time until{};
@@ -67,11 +66,10 @@
 
 RealServers::~RealServers() = default;
 
-ExchangeId RealServers::Start(ServerId server, const Address& address, std::string request, Span time_out,
-                              ExchangeEvents events, bool fed) {
+ExchangeId RealServers::Start(ServerId server, const Address& address, Span time_out, ExchangeEvents events,
+                              bool fed) {
   const ExchangeId id = ++last_;
   Exchange& exchange = *(exchanges_[id] = std::make_unique<Exchange>(*this, id));
-  exchange.request = std::move(request);
   exchange.events = std::move(events);
   exchange.fed = fed;
   if (fed) passing_.Begin();
@@ -105,8 +103,12 @@
   return id;
 }
 
+// The list may have changed while the connection came up, the client may have left, and its time has gone on.
 void RealServers::Begin(Exchange& exchange) {
-  const Stream::Wrote wrote = exchange.connection->stream.Write(std::move(exchange.request));
+  std::optional<std::string> request =
+      exchange.events.request(std::max<Span>(exchange.until - Clock::now(), Span::zero()));
+  if (!request) return EndLater(exchange.id, How::kNotTried);
+  const Stream::Wrote wrote = exchange.connection->stream.Write(std::move(*request));
   if (wrote == Stream::Wrote::kBroken) {
     EndLater(exchange.id, How::kNotConnected);
   } else if (exchange.fed) {
@@ -185,8 +187,6 @@
   Exchange& exchange = *connection.exchange;
   exchange.connecting = false;
   if (!ok) return End(exchange, How::kNotConnected);
-  // The list may have changed while the connection came up, and the client may have left.
-  if (!exchange.events.may_begin()) return End(exchange, How::kNotTried);
   exchange.timer.Start(std::max<Span>(exchange.until - Clock::now(), Span::zero()));
   connection.stream.Read();
   Begin(exchange);
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -34,10 +34,12 @@
   Span took{};     // of a long answer: to its first bytes; of a body that was fed: from its last byte on
 };
 
-// What the one that starts an exchange is asked and told. All but may_begin and done may be empty.
+// What the one that starts an exchange is asked and told. All but request and done may be empty.
 struct ExchangeEvents {
-  std::function<bool()> may_begin;  // asked right before the first byte goes out on a new connection
-  std::function<void()> sent;       // the request's last byte is written
+  // The request's text, asked for right before its first byte goes out, with the time that is left for its
+  // answer by then; nothing where it is not to be sent any more.
+  std::function<std::optional<std::string>(Span left)> request;
+  std::function<void()> sent;  // the request's last byte is written
   // A body that is fed: its head is out, or some of it is, and there is room for more.
   std::function<void()> room;
   // A long answer of 200: its head, then its body in pieces. Without this, a long answer is spoilt.
@@ -58,8 +60,8 @@
   RealServers(Loop& loop, const Limits& limits, PassingRoom& passing, Counters& counters);
   ~RealServers();
 
-  ExchangeId Start(ServerId server, const Address& address, std::string request, Span time_out,
-                   ExchangeEvents events, bool fed = false);
+  ExchangeId Start(ServerId server, const Address& address, Span time_out, ExchangeEvents events,
+                   bool fed = false);
   // More of the request's body, where it is fed; `room` says when. The time-out runs from its end.
   void Feed(ExchangeId exchange, std::string bytes);
   bool HasRoom(ExchangeId exchange) const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -281,9 +281,9 @@
 }
 
 // Asked right before anything of an attempt goes out.
-bool Sidecar::Wanted(FlowId id) {
+const Flow* Sidecar::Wanted(FlowId id) {
   const Flow* flow = flows_.Find(id);
-  return flow != nullptr && !flow->edge->Left();
+  return flow != nullptr && !flow->edge->Left() ? flow : nullptr;
 }
 
 // Clients that wait in the kernel's queue get their turn once a connection can be spared.
@@ -391,7 +391,9 @@
   counters_.Add("checks_sent");
   if (record == nullptr || !route_.Open(server)) return done(Outcome::kNotSent, {});
   ExchangeEvents events;
-  events.may_begin = [this, server] { return route_.Open(server); };
+  events.request = [this, server, to = PrintAddress(record->address)](Span) {
+    return route_.Open(server) ? std::optional(platform_.CheckRequest(to)) : std::nullopt;
+  };
   events.done = [this, server, done](const ExchangeEnd& end) {
     const Outcome outcome = SendOut::OutcomeOf(end);
     const bool answered = end.how == ExchangeEnd::How::kAnswered;
@@ -399,8 +401,7 @@
     if (zones_) zones_->Probed(server, outcome);  // whoever asked
     done(outcome, answered ? platform_.ReportInCheck(end.answer) : std::nullopt);
   };
-  const std::string request = platform_.CheckRequest(PrintAddress(record->address));
-  servers_.Start(server, record->address, request, kCheckTime, std::move(events));
+  servers_.Start(server, record->address, kCheckTime, std::move(events));
 }
 
 void Sidecar::Tick() {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -79,10 +79,11 @@
 
   void Told(const ListChange& change);
   void AcceptWaiting();
+  void LetWait();
   bool ShedOldestEdge();
   void Take(EdgeConnection& edge, Message message, bool long_body);
   void LeaveFlow(EdgeConnection& edge, Ending ending);
-  bool Wanted(FlowId flow);
+  const Flow* Wanted(FlowId flow);
   void AnswerBegins(FlowId flow, int attempt, const Message& head);
   void AnswerPiece(FlowId flow, int attempt, std::string piece);
   void AttemptEnded(AttemptResult result);
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -566,6 +566,23 @@
   CHECK(site.loop.RunUntil([&] { return !(brought += gate.Brought()).empty(); }, 3s));
 }
 
+// Guards against a server that works for longer than anybody waits: the time told is what is left when the
+// request goes out, not when its connection was asked for.
+TEST_CASE("what an attempt tells its server is what is left once its connection is up", "[crossings]") {
+  Gate gate;
+  Site site(0, 1024, NoEnvironment(), AwaitConnects);
+  const auto client = SendToLate(&site, gate);
+  site.loop.Pass(1500ms);
+  gate.Open();
+  std::string brought;
+  const std::string_view name = "X-Timeout-Ms: ";
+  REQUIRE(site.loop.RunUntil(
+      [&] { return (brought += gate.Brought()).find("\r\n\r\n") != std::string::npos; }, 3s));
+  const size_t at = brought.find(name);
+  REQUIRE(at != std::string::npos);
+  CHECK(std::stoi(brought.substr(at + name.size())) <= 2500);
+}
+
 // Guards against a request that reaches its server after its client has gone: its last bytes are held back.
 TEST_CASE("a request that is partly out when its client closes never comes whole", "[crossings]") {
   for (const bool pipelined : {false, true}) {
