Answer what is pipelined, or waits at the door, in the last moments before a forced end

Seen: of four requests of one connection behind a hung server two had no answer when the process's end was forced; and of eleven clients, three that waited for a place had none. Ruled out: the flow in flight, which is answered 0.2 s before that end as it should be. At fault: Sidecar::Leaves and StopListening gave up all that came later at the very moment in which the flows in flight are answered (answer_by_), though the process is there for 0.2 s more and an answer without an attempt takes no time. Change: connections and the door stay open for what has come until 50 ms before the end (TakeTime); what is taken after AnswerTime has its answer at once, by the deadline that Admit gives it.

--- a/src/sidecar/limits.cpp
+++ b/src/sidecar/limits.cpp
@@ -13,6 +13,7 @@
 constexpr Span kLongestCounted = 3s;
 constexpr Span kServeOnAtLeast = 800ms;  // connections still come, and requests on them
 constexpr Span kToSpare = 200ms;         // between the last answers and the end
+constexpr Span kToClose = 50ms;          // and between the last that is taken and the end
 // Descriptors that are neither a client's nor a real server's: the loop, log, listener and discovery, and
 // those set aside for the console's callers, which nobody else may use.
 constexpr int kOtherDescriptors = 24;
@@ -40,6 +41,8 @@
 
 Span AnswerTime(const Settings& settings) { return KillTime(settings) - kToSpare; }
 
+Span TakeTime(const Settings& settings) { return KillTime(settings) - kToClose; }
+
 int MostCallers(const Config& config) {
   return std::clamp(config.descriptors / 16, kFewestCallers, kMostCallers);
 }
--- a/src/sidecar/limits.h
+++ b/src/sidecar/limits.h
@@ -13,7 +13,9 @@
 Span KillTime(const Settings& settings);
 // By when, after the notice, all that was taken has its answer.
 Span AnswerTime(const Settings& settings);
-// For how long after it requests are taken.
+// Until when, after it, what has come on a connection is still taken, and answered at once.
+Span TakeTime(const Settings& settings);
+// For how long after it requests are taken for their servers.
 Span ServeOn(const Settings& settings);
 // At the console, at once.
 int MostCallers(const Config& config);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -461,8 +461,9 @@
   begin_timer_.Stop();  // one that has not begun yet never does
   if (inherited_) close(*std::exchange(inherited_, std::nullopt));
   if (replaced()) listener_.Close();  // what waits in its queue is the other process's
-  answer_by_ = Clock::now() + AnswerTime(config_.settings);
-  admit_.AnswerAllBy(answer_by_);
+  const Time now = Clock::now();
+  take_until_ = now + TakeTime(config_.settings);
+  admit_.AnswerAllBy(now + AnswerTime(config_.settings));
   close_timer_.Start(ServeOn(config_.settings));
 }
 
@@ -496,7 +497,7 @@
 // Those in the kernel's queue have been accepted by the machine, and may have sent their requests: they are
 // taken first.
 void Sidecar::StopListening() {
-  if ((accept_waits_ || listener_.Waiting()) && Clock::now() < answer_by_) {
+  if ((accept_waits_ || listener_.Waiting()) && Clock::now() < take_until_) {
     return listener_timer_.Start(kLastAccepts);
   }
   accept_waits_ = false;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -100,10 +100,11 @@
   void ShedTo(int edges);
   void CloseIdleEdges();
   // The connection ends with its next answer; one of a process that ends, only when it has answered all that
-  // came on it, for as long as there is time.
+  // came on it, for as long as there is time: what a connection has brought is owed an answer, pipelined or
+  // not.
   bool Leaves(const EdgeConnection& edge) const {
     if (life_.state() == Life::State::kDrained) return true;
-    return (closing_ || replaced()) && (!edge.HasMore() || Clock::now() >= answer_by_);
+    return (closing_ || replaced()) && (!edge.HasMore() || Clock::now() >= take_until_);
   }
   bool Leaves(const Flow& flow) const { return Leaves(*flow.edge); }
   // Told to end while another process of this sidecar takes what comes.
@@ -143,7 +144,7 @@
   bool running_ = false;      // no longer in its constructor
   bool accept_waits_ = false;
   bool closing_ = false;  // told to end, and new connections come no more
-  Time answer_by_{};      // shortly before the end is forced, all that was taken has its answer
+  Time take_until_{};     // right before the end is forced; all that was taken has its answer by then
   std::function<void()> drained_;
   Timer begin_timer_;
   Timer accept_timer_;
