Take no connection from the kernel's queue that is not wanted yet

Seen: with every descriptor in use a client that connected and sent its request was reset (ECONNRESET), nothing counted; and of three clients that waited behind the old process's limit during a handover one never had an answer. Ruled out: the limit on clients, which is kept; the new process, which took what was in the queue. At fault: uv_listen accepts ahead. With no descriptor it accepts and closes what waits, by its spare one; with a connection that the owner does not take it keeps that one, and Listener::Close closed it unread, at a handover as at an end. Change: Listener polls its socket and accepts when a stream asks for a connection (Take); where no descriptor can be had it tells so (starved), clients wait in the queue, and it tries again every 50 ms; where the limit is reached it pauses. Tests: 'a client for whom no descriptor can be had' (forced: descriptors filled), 'clients that wait behind the old process's limit'; both seen to fail on the code before and to pass with the change. 'each of two processes goes by its own classes' passes on both: it had no test.

--- a/examples/party.h
+++ b/examples/party.h
@@ -72,7 +72,7 @@
  private:
   void Come() {
     peers.push_back(std::make_unique<Peer>(loop_, *this));
-    peers.back()->stream.Accept(listener_.raw());
+    peers.back()->stream.Accept(listener_);
     if (!holds_) peers.back()->stream.Read();
   }
   Loop& loop_;
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -20,7 +20,7 @@
       : console_(console), stream_(console.loop_, this), patience_(console.loop_, [this] { Late(); }) {}
 
   bool Accept(Listener& listener) {
-    if (!stream_.Accept(listener.raw())) return false;
+    if (!stream_.Accept(listener)) return false;
     stream_.Read();
     patience_.Start(kSlowest);
     return true;
--- a/src/lab/coordinator/control.cpp
+++ b/src/lab/coordinator/control.cpp
@@ -166,7 +166,7 @@
 
 void Control::Come() {
   auto caller = std::make_unique<Caller>(*this);
-  if (!caller->stream.Accept(listener_.raw())) return;
+  if (!caller->stream.Accept(listener_)) return;
   caller->stream.Read();
   callers_.push_back(std::move(caller));
 }
--- a/src/lab/coordinator/ensemble.cpp
+++ b/src/lab/coordinator/ensemble.cpp
@@ -169,7 +169,7 @@
 void Ensemble::Come(size_t member) {
   Member& at = *members_[member];
   auto connection = std::make_unique<Connection>(*this, member);
-  if (!connection->stream.Accept(at.listener.raw())) return;
+  if (!connection->stream.Accept(at.listener)) return;
   if (at.faults.refuse || !majority_) {
     connection->stream.Close();
     loop_.Bury(std::move(connection));
--- a/src/lab/fleet/relay.cpp
+++ b/src/lab/fleet/relay.cpp
@@ -28,7 +28,7 @@
         }) {}
 
   bool Start(net::Listener& listener, const net::Address& target) {
-    if (!ends_[0].stream.Accept(listener.raw())) return false;
+    if (!ends_[0].stream.Accept(listener)) return false;
     ends_[0].stream.Read();
     return ends_[1].stream.Connect(target);
   }
--- a/src/lab/membership/stand_in.cpp
+++ b/src/lab/membership/stand_in.cpp
@@ -182,7 +182,7 @@
 
 void StandIn::Come() {
   auto peer = std::make_unique<Peer>(*this);
-  if (!peer->stream.Accept(listener_->raw())) return;
+  if (!peer->stream.Accept(*listener_)) return;
   peer->stream.Read();
   peers_.push_back(std::move(peer));
 }
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr int kBacklog = 511;
+constexpr Span kStarved = std::chrono::milliseconds(50);
+constexpr int kMostAtOnce = 64;  // connections that are taken before other work has its turn
 
 template <typename Handle>
 void CloseHandle(Handle* handle) {
@@ -210,9 +212,13 @@
   return status == 0;
 }
 
-bool Stream::Accept(uv_tcp_t* listener) {
-  if (uv_accept(reinterpret_cast<uv_stream_t*>(listener), reinterpret_cast<uv_stream_t*>(&handle_->uv)) != 0)
+bool Stream::Accept(Listener& listener) {
+  const std::optional<int> fd = listener.Take();
+  if (!fd) return false;
+  if (uv_tcp_open(&handle_->uv, *fd) != 0) {
+    close(*fd);
     return false;
+  }
   uv_tcp_nodelay(&handle_->uv, 1);
   return true;
 }
@@ -323,71 +329,96 @@
 }
 
 Listener::Listener(Loop& loop, std::function<void()> come)
-    : loop_(loop), handle_(new Handle{{}, std::move(come)}) {
-  uv_tcp_init(loop.raw(), &handle_->uv);
+    : loop_(loop), come_(std::move(come)), again_(loop, [this] { Resume(); }) {}
+
+std::string Listener::Start(int fd) {
+  int status = uv_translate_sys_error(listen(fd, kBacklog) == 0 ? 0 : errno);
+  auto handle = std::make_unique<Handle>();
+  if (status == 0) status = uv_poll_init(loop_.raw(), &handle->uv, fd);
+  if (status != 0) {
+    close(fd);
+    return uv_strerror(status);
+  }
+  fd_ = fd;
+  handle_ = handle.release();
   handle_->uv.data = handle_;
+  handle_->listener = this;
+  Resume();
+  return {};
 }
 
-int Listener::Start() {
-  return uv_listen(reinterpret_cast<uv_stream_t*>(&handle_->uv), kBacklog, [](uv_stream_t* s, int failed) {
-    if (failed == 0) static_cast<Handle*>(s->data)->come();
+void Listener::Resume() {
+  if (handle_ == nullptr) return;
+  again_.Stop();
+  uv_poll_start(&handle_->uv, UV_READABLE, [](uv_poll_t* p, int, int) {
+    if (auto* listener = static_cast<Handle*>(p->data)->listener; listener != nullptr) listener->Come();
   });
 }
 
-std::string Listener::Listen(const Address& address, bool beside) {
-  int status = 0;
-  if (beside) {
-    const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    const int on = 1;
-    if (fd < 0 || setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0)
-      status = uv_translate_sys_error(errno);
-    if (status == 0) status = uv_tcp_open(&handle_->uv, fd);
-    if (status != 0 && fd >= 0) close(fd);
-  }
-  if (status == 0) status = uv_tcp_bind(&handle_->uv, reinterpret_cast<const sockaddr*>(&address), 0);
-  if (status == 0) status = Start();
-  return status == 0 ? std::string() : uv_strerror(status);
+void Listener::Pause() {
+  again_.Stop();
+  if (handle_ != nullptr) uv_poll_stop(&handle_->uv);
 }
 
-bool Listener::SaysTaken(const std::string& error) { return error == uv_strerror(UV_EADDRINUSE); }
-
-std::string Listener::Adopt(int fd) {
-  int status = uv_tcp_open(&handle_->uv, fd);
-  if (status != 0) close(fd);
-  if (status == 0) status = Start();
-  return status == 0 ? std::string() : uv_strerror(status);
+// Several at once, as the loop's other work between them would keep them waiting; but not all there may be.
+void Listener::Come() {
+  const Handle* const handle = handle_;
+  for (int i = 0; i < kMostAtOnce; ++i) {
+    took_ = false;
+    come_();
+    if (handle->listener == nullptr || !took_ || !Waiting()) return;
+  }
 }
 
-bool Listener::Waiting() const {
-  pollfd asked{fd(), POLLIN, 0};
-  return asked.fd >= 0 && poll(&asked, 1, 0) > 0 && (asked.revents & POLLIN) != 0;
+std::optional<int> Listener::Take() {
+  const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  took_ = fd >= 0;
+  starved_ = !took_ && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM);
+  if (starved_) {
+    Pause();
+    again_.Start(kStarved);
+  }
+  return took_ ? std::optional(fd) : std::nullopt;
 }
 
-void Listener::Renew() {
-  auto come = std::move(handle_->come);
-  Close();
-  handle_ = new Handle{{}, std::move(come)};
-  uv_tcp_init(loop_.raw(), &handle_->uv);
-  handle_->uv.data = handle_;
+std::string Listener::Listen(const Address& address, bool beside) {
+  const auto failed = [] { return std::string(uv_strerror(uv_translate_sys_error(errno))); };
+  const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (fd < 0) return failed();
+  const int on = 1;
+  const socklen_t size = address.ss_family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
+  const bool bound = setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+                     (!beside || setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) == 0) &&
+                     bind(fd, reinterpret_cast<const sockaddr*>(&address), size) == 0;
+  if (bound) return Start(fd);
+  std::string why = failed();
+  close(fd);
+  return why;
 }
 
-int Listener::fd() const {
-  uv_os_fd_t fd = -1;
-  if (handle_ != nullptr) uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd);
-  return fd;
+bool Listener::SaysTaken(const std::string& error) { return error == uv_strerror(UV_EADDRINUSE); }
+
+std::string Listener::Adopt(int fd) { return Start(fd); }
+
+bool Listener::Waiting() const {
+  pollfd asked{fd_, POLLIN, 0};
+  return fd_ >= 0 && poll(&asked, 1, 0) > 0 && (asked.revents & POLLIN) != 0;
 }
 
 Address Listener::address() const {
   Address address{};
-  int size = sizeof address;
-  uv_tcp_getsockname(&handle_->uv, reinterpret_cast<sockaddr*>(&address), &size);
+  socklen_t size = sizeof address;
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size);
   return address;
 }
 
 void Listener::Close() {
+  open_ = false;
   if (handle_ == nullptr) return;
-  CloseHandle(handle_);
-  handle_ = nullptr;
+  Pause();
+  handle_->listener = nullptr;
+  CloseHandle(std::exchange(handle_, nullptr));
+  close(std::exchange(fd_, -1));
 }
 
 }  // namespace umberdyke::net
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -135,6 +135,8 @@
 // Of this process's memory, what is in the machine's now; 0 where the system does not say.
 std::size_t ResidentBytes();
 
+class Listener;
+
 // What a stream tells the one that uses it. The stream may be closed inside any of these.
 class StreamUser {
  public:
@@ -156,7 +158,8 @@
 
   // OnConnected follows, unless this returns false: then no socket could be had.
   bool Connect(const Address& to);
-  bool Accept(uv_tcp_t* listener);
+  // False where nobody waits there, or no descriptor could be had.
+  bool Accept(Listener& listener);
   void Read();
   void Pause();
   // kLater: OnWritten follows.
@@ -189,7 +192,8 @@
   Handle* handle_;
 };
 
-// A listening socket. Connections that are not taken wait in the kernel's queue.
+// A listening socket. Connections wait in the kernel's queue until a stream accepts them: none is taken from
+// it that its owner does not want yet, nor any that no descriptor can be had for.
 class Listener {
  public:
   Listener(Loop& loop, std::function<void()> come);
@@ -203,22 +207,33 @@
   // Listens on a socket that does so already; owns it from now on.
   std::string Adopt(int fd);
   bool Waiting() const;  // somebody is in the kernel's queue
-  // A fresh socket after one that could not listen.
-  void Renew();
-  int fd() const;
+  // Those that come are told of no more, or again.
+  void Pause();
+  void Resume();
+  // The next connection's descriptor, or none: nobody waits, or, as `starved` says, none can be had. It waits
+  // then, and is told of again after a while.
+  std::optional<int> Take();
+  bool starved() const { return starved_; }
+  int fd() const { return fd_; }
   Address address() const;
-  uv_tcp_t* raw() { return &handle_->uv; }
-  bool open() const { return handle_ != nullptr; }
+  bool open() const { return open_; }
   void Close();
 
  private:
-  int Start();
+  std::string Start(int fd);
+  void Come();
   struct Handle {
-    uv_tcp_t uv;
-    std::function<void()> come;
+    uv_poll_t uv;
+    Listener* listener;
   };
   Loop& loop_;
-  Handle* handle_;
+  const std::function<void()> come_;
+  bool open_ = true;
+  bool starved_ = false;
+  bool took_ = false;
+  int fd_ = -1;
+  Timer again_;
+  Handle* handle_ = nullptr;
 };
 
 }  // namespace umberdyke::net
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -133,7 +133,6 @@
       throw ConfigError("configuration: listen cannot be listened on: " + error);
     }
     log_->Say(Event::kAddressTaken, config_.name + " cannot listen yet: " + error, {{"why", error}});
-    listener_.Renew();
     begin_timer_.Start(kListenAgain);
     return;
   }
@@ -198,15 +197,13 @@
 }
 
 void Sidecar::AcceptWaiting() {
-  if (static_cast<int>(edges_.size()) >= edge_limit_ && !ShedOldestEdge()) {
-    accept_waits_ = true;  // it stays in the kernel's queue until a connection can be spared
-    accept_timer_.Start(kAcceptAgain);
-    return;
-  }
-  accept_waits_ = false;
+  if (static_cast<int>(edges_.size()) >= edge_limit_ && !ShedOldestEdge()) return LetWait();
   auto edge = std::make_unique<EdgeConnection>(loop_, *this, passing_);
-  if (!edge->Accept(listener_)) {
+  if (std::exchange(accept_waits_, false)) listener_.Resume();
+  if (!edge->Accept(listener_)) {  // none can be had, or another process of this sidecar was quicker
+    if (!listener_.starved()) return;
     counters_.Add("edges_not_accepted");
+    ShedOldestEdge();
     return;
   }
   counters_.Add("edges_accepted");
@@ -214,6 +211,13 @@
   if (closing_) taken.CloseWhenIdle();
 }
 
+// Clients stay in the kernel's queue until a connection can be spared.
+void Sidecar::LetWait() {
+  accept_waits_ = true;
+  listener_.Pause();
+  accept_timer_.Start(kAcceptAgain);
+}
+
 // Guards the usual clients against those that open connections by the hundred and send nothing: these go
 // first.
 bool Sidecar::ShedOldestEdge() {
@@ -497,7 +501,7 @@
 // Those in the kernel's queue have been accepted by the machine, and may have sent their requests: they are
 // taken first.
 void Sidecar::StopListening() {
-  if ((accept_waits_ || listener_.Waiting()) && Clock::now() < take_until_) {
+  if (listener_.Waiting() && Clock::now() < take_until_) {
     return listener_timer_.Start(kLastAccepts);
   }
   accept_waits_ = false;
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdio>
@@ -42,7 +43,7 @@
   std::string console(int number) const { return host + ":" + std::to_string(9800 + number); }
 
   // The next process of the sidecar; its number names its console.
-  int Start(const std::string& run = "run", const std::string& limits = "") {
+  int Start(const std::string& run = "run", const std::string& limits = "", const Site::Change& change = {}) {
     const int number = static_cast<int>(processes.size());
     const std::string file = (folder / ("config" + std::to_string(number) + ".json")).string();
     std::string text =
@@ -53,6 +54,7 @@
     // Between tiers nothing is turned away for the time it takes: here that is microseconds, and then a
     // hiccup.
     text.replace(text.find("\"tier\":0"), 8, "\"tier\":1");
+    if (change) change(&text);
     REQUIRE(files::WriteWhole(file, text).empty());
     processes.push_back(std::make_unique<lab::Process>(
         std::vector<std::string>{"/usr/bin/env", "TMPDIR=" + (folder / run).string(), UMBERDYKE_PROGRAM,
@@ -362,6 +364,70 @@
 #endif
 }
 
+// Guards those that wait for a place at the old process: none of them may be closed on with it.
+TEST_CASE("clients that wait behind the old process's limit are answered by the new one", "[handover]") {
+  Place place;
+  std::vector<Party::Peer*> held;
+  place.server.script = [&](Party::Peer& peer) { held.push_back(&peer); };
+  const int old = place.Start("run", R"({"sockets":64})");  // sixteen clients at once
+  REQUIRE(place.Ready(old));
+  std::vector<std::unique_ptr<Client>> clients;
+  const auto ask = [&] {
+    clients.push_back(std::make_unique<Client>(place.loop, *ParseAddress(place.listen())));
+    clients.back()->Send(place.Request());
+  };
+  for (int i = 0; i < 16; ++i) ask();
+  REQUIRE(place.loop.RunUntil([&] { return held.size() == 16; }, 6s));
+  place.server.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
+  for (int i = 0; i < 3; ++i) ask();
+  REQUIRE(place.loop.RunUntil([&] { return clients.back()->up; }, 3s));
+  place.loop.RunUntil([] { return false; }, 100ms);  // for a process that would take them early
+  const int next = place.Start("run", R"({"sockets":64})");
+  REQUIRE(place.Ready(next));
+  place.Tell(old, SIGTERM);
+  REQUIRE(place.loop.RunUntil([&] { return place.Log(old).find("told to end") != std::string::npos; }, 3s));
+  for (Party::Peer* peer : held) peer->Answer(200, "ok");
+  CHECK(place.loop.RunUntil(
+      [&] {
+        return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return !c->answers.empty(); });
+      },
+      3s));
+  CHECK(place.Ended(old) == 0);
+}
+
+// Guards one customer's settings from another's: what the old process has is the old settings' to the end.
+TEST_CASE("each of two processes goes by its own classes and tenants", "[handover]") {
+  Place place;
+  Party::Peer* held = nullptr;
+  place.server.script = [&](Party::Peer& peer) { held = &peer; };
+  const int old = place.Start();
+  REQUIRE(place.Ready(old));
+  Client before(place.loop, *ParseAddress(place.listen()));
+  before.Send(place.Request());
+  REQUIRE(place.loop.RunUntil([&] { return held != nullptr; }, 3s));
+  place.server.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
+  const auto other = [](const std::string& text) {
+    return Replaced(Replaced(text, "look", "peek"), "acme", "bolt");
+  };
+  const int next = place.Start("run", "", [&](std::string* text) { *text = other(*text); });
+  REQUIRE(place.Ready(next));
+  place.Tell(old, SIGTERM);
+  REQUIRE(place.loop.RunUntil([&] { return place.Log(old).find("told to end") != std::string::npos; }, 3s));
+  const auto status = [&](const std::string& request) {
+    Client client(place.loop, *ParseAddress(place.listen()));
+    client.Send(request);
+    place.loop.RunUntil([&] { return !client.answers.empty() || client.ended; }, 3s);
+    return client.answers.empty() ? 0 : client.answers[0].status;
+  };
+  CHECK(status(other(place.Request())) == 200);
+  CHECK(status(place.Request()) == 400);
+  CHECK(status(Replaced(place.Request(), "look", "peek")) == 400);
+  held->Answer(200, "late");
+  CHECK(place.loop.RunUntil([&] { return !before.answers.empty(); }, 3s));
+  CHECK(before.answers.at(0).body == "late");
+  CHECK(place.Ended(old) == 0);
+}
+
 // Guards against two processes that together hold more than one sidecar may.
 TEST_CASE("two processes share a sidecar's descriptors and say who serves", "[handover]") {
   Place place;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -2,6 +2,7 @@
 // forced, by bytes held back, gates, and a clock that the test moves on. docs/design.md lists them.
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -449,6 +450,39 @@
   }
 }
 
+// Guards against an accept that fails and takes the client along: it may have sent its request.
+TEST_CASE("a client for whom no descriptor can be had waits, and is answered once one can", "[crossings]") {
+  Site site(1);
+  site.Script([](Party::Peer& peer) { peer.Answer(200, "ok"); });
+  REQUIRE(site.Ask(Look()).status == 200);  // the way to the server is open
+  site.loop.Settle();                       // and the connection of the one that asked has gone
+  const int client = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit few{256, before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &few);
+  std::vector<int> filled;
+  for (int fd = dup(client); fd >= 0; fd = dup(client)) filled.push_back(fd);
+  const Address address = site.sidecar->address();
+  REQUIRE(connect(client, reinterpret_cast<const sockaddr*>(&address), sizeof(sockaddr_in)) == 0);
+  const std::string request = Look("4000", "waits");
+  REQUIRE(send(client, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+  site.loop.Pass(500ms);
+  std::string answer(4096, 0);
+  CHECK(recv(client, answer.data(), answer.size(), MSG_DONTWAIT) < 0);
+  CHECK(errno == EAGAIN);
+  const auto starved = site.sidecar->counters().Of("edges_not_accepted");
+  CHECK(starved > 0);
+  CHECK(starved < 20);  // and the loop is not kept busy by it
+  for (const int fd : filled) close(fd);
+  setrlimit(RLIMIT_NOFILE, &before);
+  site.loop.Pass(200ms);
+  const ssize_t count = recv(client, answer.data(), answer.size(), MSG_DONTWAIT);
+  CHECK(answer.substr(0, 15) == "HTTP/1.1 200 OK");
+  CHECK(count > 0);
+  close(client);
+}
+
 // --- A client that has gone ---
 
 // Much more than is read ahead while a request is out, so that what comes behind it stays in the kernel.
--- a/tests/passing/passing_test.cpp
+++ b/tests/passing/passing_test.cpp
@@ -83,7 +83,7 @@
     ++connections;
     parser.StreamBodyTo([this](std::string_view piece) { body.append(piece); });
     peer = std::make_unique<Stream>(loop_, this);
-    peer->Accept(listener_.raw());
+    peer->Accept(listener_);
     if (read) peer->Read();
   }
   Loop& loop_;
