Ask discovery soon again once a call was made to wait in turn

Seen: after an outage, a call that discovery lets wait for 2 s and gives up was made again at the outage's pace, 0.75 to 2.25 s later; with that pace before the first call, and another 2 s in turn, a change can be heard over 6 s after discovery could be reached. Ruled out: the first 6 s after the last word, in which calls are made 0.1 to 0.9 s apart already. At fault: DiscoverySource::Broken, whose 6 s begin with the last item heard alone. Change: after an outage, a call that was held for a second shows that discovery is back: the 6 s begin anew, once. Test: 'a call that waits in turn and fails after an outage', with a 503 and with silence; seen to fail on the code before (no call within 0.3 s) and to pass with the change.

--- a/src/membership/discovery_source.cpp
+++ b/src/membership/discovery_source.cpp
@@ -11,6 +11,7 @@
 // call that is served fit into the 6 s after which all counts as told.
 constexpr Span kLongestSilence = 2300ms;
 constexpr Span kTold = 6s;
+constexpr Span kHeld = 1s;  // one that is down refuses sooner
 constexpr size_t kLongestItem = 4 * 1024 * 1024;
 // Calls that fail in that time are made again after this, longer each time, and never in step with others'.
 constexpr Span kFirstPace = 150ms;
@@ -46,6 +47,7 @@
 
 void ListWatch::OnConnected(bool ok) {
   if (!ok) return Broken("discovery could not be reached");
+  connected_ = Clock::now();
   silence_.Start(kLongestSilence);
   stream_.Read();
   if (stream_.Write(request_) == Stream::Wrote::kBroken) Broken("the request could not be written");
@@ -66,6 +68,8 @@
   owner_.broken(why);
 }
 
+bool ListWatch::Held() const { return connected_ < Clock::now() - kHeld; }
+
 void ListWatch::Close() {
   silence_.Stop();
   stream_.Close();
@@ -164,9 +168,15 @@
 }
 
 void DiscoverySource::Broken(const char* why) {
+  const bool back = watch_->Held() && std::exchange(away_, false);
   Drop(watch_);
   counters_.Add("discovery_broken");
+  if (back) {
+    soon_until_ = Clock::now() + kTold;
+    pace_ = kFirstPace;
+  }
   const bool soon = Clock::now() < soon_until_;
+  away_ = away_ || !soon;
   if (pushed_ || soon) again_.Start(Spread(pushed_ ? kPushedPace : pace_));
   pace_ = std::min(pace_ * 3 / 2, kSlowestPace);
   if (!soon) owner_.failed(why);
--- a/src/membership/discovery_source.h
+++ b/src/membership/discovery_source.h
@@ -3,7 +3,8 @@
 // One clock of silence: whatever discovery has to tell counts as told 6 s after it had it and could be
 // reached. A watch from which nothing whole has come for longer than its beat is broken, and for those 6 s
 // after the last word this source asks again by itself, soon; from then on, when to ask is the module's to
-// say. Where lists are pushed, what is to be told counts at once, so that it goes on asking soon.
+// say, until a call that is made to wait in turn shows that discovery is back: then they begin anew. Where
+// lists are pushed, what is to be told counts at once, so that it goes on asking soon.
 #ifndef UMBERDYKE_MEMBERSHIP_DISCOVERY_SOURCE_H_
 #define UMBERDYKE_MEMBERSHIP_DISCOVERY_SOURCE_H_
 
@@ -27,6 +28,8 @@
   // Not up after `connect_time`: broken.
   ListWatch(Loop& loop, const Address& discovery, std::int64_t version, Span connect_time, Owner owner);
   void Close();
+  // Discovery has let the call wait in its turn: it can be reached, even if the call fails after that.
+  bool Held() const;
 
  private:
   void OnConnected(bool ok) override;
@@ -42,6 +45,7 @@
   Stream stream_;
   HttpParser parser_{HttpParser::Kind::kResponse};
   ListCutter cutter_;
+  Time connected_ = Time::max();
   Timer silence_;
 };
 
@@ -80,6 +84,7 @@
   std::unique_ptr<ListWatch>
       old_;             // at the address before the last move, or one that told what can't be read
   Time soon_until_{};   // calls that fail are made again by this source until then
+  bool away_ = false;   // nothing was heard for so long that the module says when to ask
   Span pace_{};         // of these
   Span unread_pace_{};  // and of those for what could not be read
   Timer again_;
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -105,6 +105,31 @@
   }
 }
 
+// Guards against the pace of an outage once discovery can be reached: it is back, lets the first call wait in
+// turn, and gives it up.
+TEST_CASE("a call that waits in turn and fails after an outage is made again at once", "[watch]") {
+  for (const bool silent : {false, true}) {
+    WatchedSite site;
+    REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+    bool down = true;
+    Party::Peer* waits = nullptr;
+    site.discovery.script = [&](Party::Peer& peer) {
+      if (down) return peer.stream.Reset();
+      if (waits != nullptr) return peer.Reply(kHead + Chunk(site.Drain() + "\n"));
+      waits = &peer;
+    };
+    site.watch->stream.Close();
+    for (int i = 0; i < 30; ++i) site.loop.Pass(1s);
+    down = false;
+    for (int i = 0; i < 60 && waits == nullptr; ++i) site.loop.Pass(50ms);
+    REQUIRE(waits != nullptr);
+    INFO(silent);
+    site.loop.Pass(silent ? 2310ms : 2s);
+    if (!silent) waits->Answer(503, "");
+    CHECK(site.TellsWithin(300ms));
+  }
+}
+
 // Guards against a change that is dropped with the text that could not be read, and never told again.
 TEST_CASE("what cannot be read is asked for again, after the last version that could be", "[watch]") {
   WatchedSite site;
