Bind a keyed request's first attempt to the window that its copy opens

Seen: where two attempts may be out at once, a first one whose connection comes up late leaves after the window that its copy has opened; forced by the test: the copy is out at once, the first one's bytes came a second and more later. At fault: SendTo took the limit before the attempt itself was noted, so that a first one had none.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -620,7 +620,7 @@
     return now_ + settings_.tick < RepeatUntil(held);
   }
 
-  // A repeat that leaves later is a second effect: the first that may have run opens a keyed class's window.
+  // What leaves later is a second effect: a keyed class's window opens with the first that may have run.
   Micros RepeatUntil(const Held& held) const {
     const RequestClass& c = ClassOf(held);
     const Attempt* first = FirstThatMayHaveRun(held);
@@ -683,7 +683,7 @@
     if (IsCold(up)) up.cold_sends -= 1;
     ++up.in_flight;
     ++sends_;
-    const Micros until = RepeatUntil(held);
+    const bool keyed = ClassOf(held).repeat == Repeat::kKeyed;
     Attempt attempt;
     attempt.upstream = u;
     attempt.sent = now_;
@@ -695,7 +695,7 @@
     held.waiting = false;
     const Micros useful = UsefulUntil(held);
     const bool cut = useful < held.deadline && useful > now_ && !ClassOf(held).stream;
-    out_->push_back(Send{id, up.entry.id, cut ? useful - now_ : 0, until == kNever ? 0 : until - now_});
+    out_->push_back(Send{id, up.entry.id, cut ? useful - now_ : 0, keyed ? RepeatUntil(held) - now_ : 0});
   }
 
   // Nobody may be sent to just now: hold the request for a part of its time.
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -317,7 +317,11 @@
   d.Advance(140'000);
   ASSERT_EQ(d.outs.size(), 1u);
   const Micros first = d.outs[0].sent;
-  EXPECT_EQ(d.outs[0].out_by, 0);
+  // Whoever carries it has to know how long it may leave for: connections may come up late, and a copy may
+  // have run by then.
+  const Micros window = s.classes[0].window - s.classes[0].window / 20;
+  const auto out_by = [&](Micros opened) { return repeat == Repeat::kKeyed ? opened + window : 0; };
+  EXPECT_EQ(d.outs[0].out_by, out_by(first));
   d.End(7, outcome);
   const bool never_ran =
       outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
@@ -328,8 +332,7 @@
     EXPECT_FALSE(d.SendsTo(2) > 0) << "went out again where it must not";
   } else {
     ASSERT_EQ(d.SendsTo(2), 1);
-    // Whoever carries it has to know how long that holds: connections may come up late.
-    EXPECT_EQ(d.outs[0].out_by, anywhere ? 0 : first + s.classes[0].window - s.classes[0].window / 20);
+    EXPECT_EQ(d.outs[0].out_by, out_by(never_ran ? d.outs[0].sent : first));
   }
   if (!anywhere && !(repeat == Repeat::kKeyed && group == Group::kAll)) {
     d.Advance(10 * kSecond);
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -691,6 +691,30 @@
   CHECK(other.requests == 0);
 }
 
+// Guards against a second effect of two at once: the copy is out and may have run, and the first one's
+// connection comes up after the window.
+TEST_CASE("a first attempt whose connection comes up after its copy's window is not sent", "[crossings]") {
+  Gate gate;
+  Site site(1, 1024, NoEnvironment(), [](std::string* text) {
+    ShortWindow(text);
+    *text = Replaced(Replaced(*text, "\"cancel\":false", "\"cancel\":false,\"parallel_tries\":true"),
+                     "\"state\":\"ready\"", "\"state\":\"draining\"");
+  });
+  REQUIRE(site.Until([&] { return site.watch != nullptr; }));
+  site.Tell(ListText(2, false, {ServerLine("late", gate.address)}));
+  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("discovery_changes") == 1; }));
+  const auto client = site.Connect();
+  client->Send(Hand());
+  REQUIRE(site.Until([&] { return site.sidecar->counters().Of("connections_opened") == 1; }));
+  site.Tell(ListText(3, false, {ServerLine("s0", site.real[0]->address())}));
+  REQUIRE(site.Until([&] { return site.Requests() == 1; }));  // the copy, which nobody answers
+  site.loop.Pass(960ms);
+  gate.Open();
+  std::string brought;
+  site.loop.RunUntil([&] { return !(brought += gate.Brought()).empty(); }, 2s);
+  CHECK(brought.empty());
+}
+
 // Guards against a server that works for longer than anybody waits: the time told is what is left when the
 // request goes out, not when its connection was asked for.
 TEST_CASE("what an attempt tells its server is what is left once its connection is up", "[crossings]") {
