--- a/src/membership/discovery_source.cpp
+++ b/src/membership/discovery_source.cpp
@@ -14,15 +14,15 @@
 constexpr Span kHeld = 1s;  // one that is down refuses sooner
 constexpr size_t kLongestItem = 4 * 1024 * 1024;
 // Calls that fail in that time are made again after this, longer each time, and never in step with others'.
-constexpr Span kFirstPace = 150ms;
-constexpr Span kSlowestPace = 600ms;
+constexpr Span kFirstBackoff = 150ms;
+constexpr Span kLongestBackoff = 600ms;
 // Where lists are pushed, what discovery gets at its return counts at once: a call that does not come up is
 // made again well within the least time that a drain leaves, for as long as it takes.
-constexpr Span kPushedPace = 80ms;
+constexpr Span kPushedBackoff = 80ms;
 constexpr Span kPushedConnect = 150ms;
 // What can't be read is asked for anew, first soon, and less and less often where that never helps.
-constexpr Span kFirstUnread = 100ms;
-constexpr Span kSlowestUnread = 10s;
+constexpr Span kFirstUnreadBackoff = 100ms;
+constexpr Span kLongestUnreadBackoff = 10s;
 
 }  // namespace
 
@@ -85,8 +85,8 @@
       owner_(std::move(owner)),
       random_(config.seed),
       version_(version),
-      pace_(kFirstPace),
-      unread_pace_(kFirstUnread),
+      backoff_(kFirstBackoff),
+      unread_backoff_(kFirstUnreadBackoff),
       again_(loop,
              [this] {
                if (wanted_ && watch_ == nullptr) Ask();
@@ -111,7 +111,7 @@
   discovery_ = discovery;
   version_ = 0;  // another service may count its versions anew
   soon_until_ = Clock::now() + kTold;
-  pace_ = kFirstPace;
+  backoff_ = kFirstBackoff;
   AskBeside();
 }
 
@@ -144,7 +144,7 @@
 void DiscoverySource::TakeItem(std::string_view text, bool from_old) {
   if (!from_old) {  // it lives, and all that came before has been told
     soon_until_ = Clock::now() + kTold;
-    pace_ = kFirstPace;
+    backoff_ = kFirstBackoff;
   }
   if (text.empty()) return;
   const auto change = platform_.ReadList(text);
@@ -152,7 +152,7 @@
   counters_.Add("discovery_changes");
   if (!from_old && !anew_.running()) {
     version_ = change->full ? change->version : std::max(version_, change->version);
-    unread_pace_ = kFirstUnread;
+    unread_backoff_ = kFirstUnreadBackoff;
     Drop(old_);
   }
   owner_.told(*change, change->full ? ListUpdate::kComplete : ListUpdate::kChanges);
@@ -163,8 +163,8 @@
 void DiscoverySource::Unreadable(bool from_old) {
   counters_.Add("discovery_unreadable");
   if (from_old || anew_.running()) return;
-  anew_.Start(Spread(unread_pace_));
-  unread_pace_ = std::min(2 * unread_pace_, kSlowestUnread);
+  anew_.Start(Jittered(unread_backoff_));
+  unread_backoff_ = std::min(2 * unread_backoff_, kLongestUnreadBackoff);
 }
 
 void DiscoverySource::Broken(const char* why) {
@@ -173,16 +173,16 @@
   counters_.Add("discovery_broken");
   if (back) {
     soon_until_ = Clock::now() + kTold;
-    pace_ = kFirstPace;
+    backoff_ = kFirstBackoff;
   }
   const bool soon = Clock::now() < soon_until_;
   away_ = away_ || !soon;
-  if (pushed_ || soon) again_.Start(Spread(pushed_ ? kPushedPace : pace_));
-  pace_ = std::min(pace_ * 3 / 2, kSlowestPace);
+  if (pushed_ || soon) again_.Start(Jittered(pushed_ ? kPushedBackoff : backoff_));
+  backoff_ = std::min(backoff_ * 3 / 2, kLongestBackoff);
   if (!soon) owner_.failed(why);
 }
 
-Span DiscoverySource::Spread(Span time) {
+Span DiscoverySource::Jittered(Span time) {
   return time / 2 +
          std::chrono::duration_cast<Span>(time * std::uniform_real_distribution<double>(0, 1)(random_));
 }
--- a/src/membership/discovery_source.h
+++ b/src/membership/discovery_source.h
@@ -69,7 +69,7 @@
   void Unreadable(bool from_old);
   void Broken(const char* why);
   void Drop(std::unique_ptr<ListWatch>& watch);
-  Span Spread(Span time);
+  Span Jittered(Span time);
 
   Loop& loop_;
   const Platform& platform_;
@@ -82,11 +82,11 @@
   bool wanted_ = false;
   std::unique_ptr<ListWatch> watch_;
   std::unique_ptr<ListWatch>
-      old_;             // at the address before the last move, or one that told what can't be read
-  Time soon_until_{};   // calls that fail are made again by this source until then
-  bool away_ = false;   // nothing was heard for so long that the module says when to ask
-  Span pace_{};         // of these
-  Span unread_pace_{};  // and of those for what could not be read
+      old_;                // at the address before the last move, or one that told what can't be read
+  Time soon_until_{};      // calls that fail are made again by this source until then
+  bool away_ = false;      // nothing was heard for so long that the module says when to ask
+  Span backoff_{};         // of these
+  Span unread_backoff_{};  // and of those for what could not be read
   Timer again_;
   Timer anew_;
 };
