Force each danger of the fence by a plan of its own, not by drawn faults

At fault: the requirement rests on whether a drawn fault strikes in the moment of an order, which is the machine's pace. The drawn set is judged as before.

--- a/src/lab/fleet/commands.cpp
+++ b/src/lab/fleet/commands.cpp
@@ -132,6 +132,7 @@
                   "Of the release: good, crash, hang, errors, slow or later");
   sub->add_option("--what", options->what, "release, restart or drain")
       ->check(CLI::IsMember({"release", "restart", "drain"}));
+  sub->add_option("--plan", options->plan, "A file with a plan, in place of seeds");
   sub->add_option("--keep-failing", options->many.keep, "A folder for failing plans and their reports");
   sub->add_option("--require", options->many.require, "A danger that has to arise in the set");
   sub->footer(
@@ -139,11 +140,16 @@
       "Example:\n  umberdyke_lab fleet plans --count 500 --jobs 8 --require orders_old_term");
   sub->callback([options, status] {
     FindPrograms(&options->programs);
+    if (!options->plan.empty()) {
+      const auto plan = PlanOf(*options, status);
+      if (!plan) return;
+      options->many.plans.push_back(*plan);
+    }
     for (int write = 1; write <= options->strike_writes; ++write)
       options->many.plans.push_back(QuietRollout(options->what, options->version, write, options->strike));
     if (!options->many.plans.empty()) {
       options->many.first_seed = 0;
-      options->many.count = options->strike_writes;
+      options->many.count = static_cast<int>(options->many.plans.size());
     }
     const ManyReport report = RunMany(options->many, options->programs);
     std::cout << Print(options->many, report);
