--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr int kBacklog = 511;
-constexpr Span kStarved = std::chrono::milliseconds(50);
+constexpr Span kAcceptAgain = std::chrono::milliseconds(50);
 constexpr int kMostAtOnce = 64;  // connections that are taken before other work has its turn
 
 template <typename Handle>
@@ -213,7 +213,7 @@
 }
 
 bool Stream::Accept(Listener& listener) {
-  const std::optional<int> fd = listener.Take();
+  const std::optional<int> fd = listener.Accept();
   if (!fd) return false;
   if (uv_tcp_open(&handle_->uv, *fd) != 0) {
     close(*fd);
@@ -371,13 +371,13 @@
   }
 }
 
-std::optional<int> Listener::Take() {
+std::optional<int> Listener::Accept() {
   const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
   took_ = fd >= 0;
-  starved_ = !took_ && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM);
-  if (starved_) {
+  out_of_descriptors_ = !took_ && (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM);
+  if (out_of_descriptors_) {
     Pause();
-    again_.Start(kStarved);
+    again_.Start(kAcceptAgain);
   }
   return took_ ? std::optional(fd) : std::nullopt;
 }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -212,10 +212,10 @@
   // Those that come are told of no more, or again.
   void Pause();
   void Resume();
-  // The next connection's descriptor, or none: nobody waits, or, as `starved` says, none can be had. It waits
-  // then, and is told of again after a while.
-  std::optional<int> Take();
-  bool starved() const { return starved_; }
+  // The next connection's descriptor, or none: nobody waits, or, as `out_of_descriptors` says, none can be
+  // had. It waits then, and is told of again after a while.
+  std::optional<int> Accept();
+  bool out_of_descriptors() const { return out_of_descriptors_; }
   int fd() const { return fd_; }
   Address address() const;
   bool open() const { return open_; }
@@ -231,7 +231,7 @@
   Loop& loop_;
   const std::function<void()> come_;
   bool open_ = true;
-  bool starved_ = false;
+  bool out_of_descriptors_ = false;
   bool took_ = false;
   int fd_ = -1;
   Timer again_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -201,7 +201,7 @@
   auto edge = std::make_unique<EdgeConnection>(loop_, *this, passing_);
   if (std::exchange(accept_waits_, false)) listener_.Resume();
   if (!edge->Accept(listener_)) {  // none can be had, or another process of this sidecar was quicker
-    if (!listener_.starved()) return;
+    if (!listener_.out_of_descriptors()) return;
     counters_.Add("edges_not_accepted");
     ShedOldestEdge();
     return;
