--- a/include/umberdyke/balancer.h
+++ b/include/umberdyke/balancer.h
@@ -130,7 +130,7 @@
   UpstreamId upstream;
   Micros time_out;  // 0: until the client gives up
   // Later than this its last byte may not go out, however long its connection takes; 0: no such limit.
-  Micros out_within = 0;
+  Micros send_within = 0;
 };
 struct Cancel {
   RequestId request;
--- a/src/flow/decisions.cpp
+++ b/src/flow/decisions.cpp
@@ -58,7 +58,7 @@
           const auto span = [](Micros time) {
             return time != 0 ? std::optional<Span>(std::chrono::microseconds(time)) : std::nullopt;
           };
-          actor_.SendFlow(a.request, a.upstream, span(a.time_out), span(a.out_within));
+          actor_.SendFlow(a.request, a.upstream, span(a.time_out), span(a.send_within));
         } else if constexpr (std::is_same_v<T, Cancel>) {
           actor_.CancelAttempt(a.request, a.attempt);
         } else if constexpr (std::is_same_v<T, Refuse>) {
--- a/src/flow/decisions.h
+++ b/src/flow/decisions.h
@@ -22,9 +22,9 @@
 // Carries out what the module asks for.
 class Actor {
  public:
-  // `out_within`: the request's last byte is out by then, or never.
+  // `send_within`: the request's last byte is out by then, or never.
   virtual void SendFlow(FlowId flow, ServerId server, std::optional<Span> time_out,
-                        std::optional<Span> out_within) = 0;
+                        std::optional<Span> send_within) = 0;
   virtual void CancelAttempt(FlowId flow, int attempt) = 0;
   virtual void TurnDown(FlowId flow, std::chrono::microseconds retry_after) = 0;
   virtual void FailFlow(FlowId flow) = 0;
--- a/src/flow/route.h
+++ b/src/flow/route.h
@@ -13,7 +13,7 @@
   ServerId server = 0;
   Address address{};
   Span wait{};
-  Time out_by{};  // its last byte, or never
+  Time send_by{};  // its last byte, or never
 };
 
 class Route {
@@ -21,7 +21,7 @@
   Route(const ServiceEntry& entry, const Settings& settings) : entry_(entry), settings_(settings) {}
   // Nothing where no attempt may go out: an unknown or leaving server, or no time left.
   std::optional<Routed> operator()(const Flow& flow, ServerId server, std::optional<Span> time_out,
-                                   std::optional<Span> out_within) const;
+                                   std::optional<Span> send_within) const;
   // Whether the list, as it stands now, lets new work go there.
   bool Open(ServerId server) const;
 
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -31,7 +31,7 @@
     done_({key.first, key.second, server, outcome, end.took, std::move(end.answer)});
   };
   const ExchangeId exchange =
-      servers_.Start(routed.server, routed.address, routed.wait, routed.out_by, std::move(events), fed);
+      servers_.Start(routed.server, routed.address, routed.wait, routed.send_by, std::move(events), fed);
   attempts_[key] = {exchange, routed.server, Clock::now()};
 }
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -46,7 +46,7 @@
   ExchangeEvents events;
   Time started{};
   Time until{};
-  Time out_by = Time::max();
+  Time send_by = Time::max();
   bool connecting = false;
   bool written = false;
   bool answering = false;  // some of the answer has come
@@ -67,7 +67,7 @@
 
 RealServers::~RealServers() = default;
 
-ExchangeId RealServers::Start(ServerId server, const Address& address, Span time_out, Time out_by,
+ExchangeId RealServers::Start(ServerId server, const Address& address, Span time_out, Time send_by,
                               ExchangeEvents events, bool fed) {
   const ExchangeId id = ++last_;
   Exchange& exchange = *(exchanges_[id] = std::make_unique<Exchange>(*this, id));
@@ -76,7 +76,7 @@
   if (fed) passing_.Begin();
   exchange.started = Clock::now();
   exchange.until = exchange.started + time_out;
-  if (!fed) exchange.out_by = out_by;
+  if (!fed) exchange.send_by = send_by;
   exchange.connection = TakeWarm(server, address);
   if (exchange.connection != nullptr) {
     exchange.connection->exchange = &exchange;
@@ -106,7 +106,7 @@
 
 // Until some time, but not past the exchange's own, nor past that by which its last byte has to be out.
 void RealServers::Await(Exchange& exchange, Time most) {
-  const Time until = std::min({most, exchange.until, exchange.out_by});
+  const Time until = std::min({most, exchange.until, exchange.send_by});
   exchange.timer.Start(std::max<Span>(until - Clock::now(), Span::zero()));
 }
 
@@ -114,7 +114,7 @@
 void RealServers::Begin(Exchange& exchange) {
   const Time now = Clock::now();
   std::optional<std::string> request;
-  if (now < exchange.out_by) request = exchange.events.request(std::max<Span>(exchange.until - now, 0ms));
+  if (now < exchange.send_by) request = exchange.events.request(std::max<Span>(exchange.until - now, 0ms));
   if (!request) return EndLater(exchange.id, How::kNotTried);
   const Stream::Wrote wrote = exchange.connection->stream.Write(std::move(*request));
   if (wrote == Stream::Wrote::kBroken) {
@@ -235,7 +235,7 @@
     return End(*exchange, How::kNotConnected);
   }
   // Whoever answers has the request.
-  if (std::exchange(exchange->out_by, Time::max()) != Time::max()) Await(*exchange, exchange->until);
+  if (std::exchange(exchange->send_by, Time::max()) != Time::max()) Await(*exchange, exchange->until);
   if (parsed != Parsed::kMore && parsed != Parsed::kComplete) {
     counters_.Add("answers_malformed");
     return End(*exchange, exchange->passing ? How::kBroken : How::kSpoilt);
@@ -329,10 +329,10 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
   Exchange& exchange = *it->second;
-  if (Clock::now() >= exchange.out_by) {
+  if (Clock::now() >= exchange.send_by) {
     const bool held_back = !exchange.connecting && exchange.connection->stream.HeldBack();
     if (exchange.written && !held_back) {  // the server has it
-      exchange.out_by = Time::max();
+      exchange.send_by = Time::max();
       return Await(exchange, exchange.until);
     }
     counters_.Add("repeats_too_late");
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -60,9 +60,9 @@
   RealServers(Loop& loop, const Limits& limits, PassingRoom& passing, Counters& counters);
   ~RealServers();
 
-  // The request's last byte is written by `out_by`, or never; a body that is fed knows no such time.
-  ExchangeId Start(ServerId server, const Address& address, Span time_out, Time out_by, ExchangeEvents events,
-                   bool fed = false);
+  // The request's last byte is written by `send_by`, or never; a body that is fed knows no such time.
+  ExchangeId Start(ServerId server, const Address& address, Span time_out, Time send_by,
+                   ExchangeEvents events, bool fed = false);
   // More of the request's body, where it is fed; `room` says when. The time-out runs from its end.
   void Feed(ExchangeId exchange, std::string bytes);
   bool HasRoom(ExchangeId exchange) const;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -312,7 +312,7 @@
 }
 
 void Sidecar::SendFlow(FlowId id, ServerId server, std::optional<Span> time_out,
-                       std::optional<Span> out_within) {
+                       std::optional<Span> send_within) {
   Flow* flow = flows_.Find(id);
   if (flow != nullptr && flow->edge->Left()) {
     counters_.Add("sends_for_nobody");
@@ -322,7 +322,7 @@
   const int attempt = flow == nullptr ? 0 : flow->attempts++;
   if (zones_ && zones_->Closed(server)) counters_.Add("sent_to_closed_zone");
   if (flow != nullptr && flow->taking) flow->deadline = Clock::now() + flow->request.time_left;
-  const auto routed = flow == nullptr ? std::nullopt : route_(*flow, server, time_out, out_within);
+  const auto routed = flow == nullptr ? std::nullopt : route_(*flow, server, time_out, send_within);
   if (routed) return send_(*flow, attempt, *routed);
   book_.Attempt({id, attempt, server, Outcome::kNotSent, {}, {}}, flow == nullptr);
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -67,7 +67,7 @@
   void OnGone(EdgeConnection& edge) override;
 
   void SendFlow(FlowId flow, ServerId server, std::optional<Span> time_out,
-                std::optional<Span> out_within) override;
+                std::optional<Span> send_within) override;
   void CancelAttempt(FlowId flow, int attempt) override { send_.Cancel(flow, attempt); }
   void TurnDown(FlowId flow, std::chrono::microseconds retry_after) override;
   void FailFlow(FlowId flow) override;
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -60,7 +60,7 @@
     UpstreamId upstream;
     Micros sent;
     Micros times_out;  // 0: no time-out of its own
-    Micros out_by;     // 0: its last byte may go out at any time
+    Micros send_by;    // 0: its last byte may go out at any time
     bool cancelled = false;
   };
 
@@ -187,7 +187,7 @@
         EXPECT_EQ(finals[a->request], 0) << "sent after its end";
         const int attempt = SendsOf(a->request);
         const auto until = [this](Micros time) { return time > 0 ? now + time : 0; };
-        outs.push_back({a->request, attempt, a->upstream, now, until(a->time_out), until(a->out_within)});
+        outs.push_back({a->request, attempt, a->upstream, now, until(a->time_out), until(a->send_within)});
         sent_ids.push_back(a->request);
         sent_to.push_back(a->upstream);
         sent_at.push_back(now);
@@ -320,8 +320,8 @@
   // Whoever carries it has to know how long it may leave for: connections may come up late, and a copy may
   // have run by then.
   const Micros window = s.classes[0].window - s.classes[0].window / 20;
-  const auto out_by = [&](Micros opened) { return repeat == Repeat::kKeyed ? opened + window : 0; };
-  EXPECT_EQ(d.outs[0].out_by, out_by(first));
+  const auto send_by = [&](Micros opened) { return repeat == Repeat::kKeyed ? opened + window : 0; };
+  EXPECT_EQ(d.outs[0].send_by, send_by(first));
   d.End(7, outcome);
   const bool never_ran =
       outcome == Outcome::kRejected || outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
@@ -332,7 +332,7 @@
     EXPECT_FALSE(d.SendsTo(2) > 0) << "went out again where it must not";
   } else {
     ASSERT_EQ(d.SendsTo(2), 1);
-    EXPECT_EQ(d.outs[0].out_by, out_by(never_ran ? d.outs[0].sent : first));
+    EXPECT_EQ(d.outs[0].send_by, send_by(never_ran ? d.outs[0].sent : first));
   }
   if (!anywhere && !(repeat == Repeat::kKeyed && group == Group::kAll)) {
     d.Advance(10 * kSecond);
