Ramp one cold server from twenty-five sidecars on sockets, with a control

Need: the fleet's ramp rested on a test of the module alone. Twenty-five sidecars, uneven clients, a burst in which half of the warm servers refuse: what the cold server got in any second stays within its budget and chance; and a control, in which each sidecar believes itself alone, goes over.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -6,7 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 
 #include "site.h"
 
@@ -250,6 +252,98 @@
   CHECK(drained);
 }
 
+// --- A fleet ---
+
+// The most by which the requests that a cold server has got from 25 sidecars in any second go over what
+// chance may add to its budget N, N + 2 sqrt(N) + 2, under a burst in which half of the warm servers refuse.
+// `told` is the count of sidecars in their settings.
+double MostOverColdBudget(int told) {
+  constexpr int kSidecars = 25, kWarm = 20;
+  Loop loop;
+  Party discovery(loop);
+  std::vector<Party::Peer*> watches;
+  discovery.script = [&](Party::Peer& peer) {
+    watches.push_back(&peer);
+    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  };
+  bool burst = false;
+  int served = 0;
+  std::vector<std::unique_ptr<Party>> servers;
+  std::vector<std::string> lines;
+  for (int i = 0; i <= kWarm; ++i) {
+    servers.push_back(std::make_unique<Party>(loop));
+    lines.push_back(ServerLine("s" + std::to_string(i), servers[i]->address()));
+    servers[i]->script = [&, i](Party::Peer& peer) {
+      if (burst && i < kWarm / 2) return peer.Answer(503, "", {{"X-Not-Processed", "1"}});
+      ++served;
+      peer.Answer(200, "ok", {{"X-Server-Load", R"({"inflight":1,"queue":0})"}});
+    };
+  }
+  const std::string cold = lines.back();
+  lines.pop_back();
+  std::vector<Time> sends;
+  servers[kWarm]->script = [&](Party::Peer& peer) {
+    sends.push_back(Clock::now());
+    peer.Answer(200, "ok", {{"X-Server-Load", R"({"inflight":1,"queue":0})"}});
+  };
+  std::string text = ConfigText(discovery.address(), ListText(1, true, lines));
+  BetweenTiers(&text);
+  text = Replaced(Replaced(text, "\"balancers\":1", "\"balancers\":" + std::to_string(told)),
+                  "\"probes\":true", "\"probes\":false");
+  text = Replaced(text, "\"cold_us\":0",
+                  R"("cold_us":22000000,"start_capacity":0.13,"fall_multiple":4,"fall_us":1000000)");
+  std::vector<std::unique_ptr<Sidecar>> sidecars;
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < kSidecars; ++i) {
+    const std::string own = Replaced(text, "8c1f30d27a5be964", "8c1f30d27a5be9" + std::to_string(10 + i));
+    sidecars.push_back(std::make_unique<Sidecar>(loop, ParseConfig(own, NoEnvironment()), log::NoLog()));
+    clients.push_back(std::make_unique<Client>(loop, sidecars.back()->address()));
+  }
+  REQUIRE(loop.RunUntil([&] { return watches.size() == kSidecars; }, 10s));
+  int asked = 0;
+  const auto run = [&](std::chrono::milliseconds time, int every) {
+    for (std::chrono::milliseconds passed{}; passed < time; passed += 10ms) {
+      for (int i = 0; i < kSidecars; ++i) {
+        if ((passed / 10ms + i) % every == 0) clients[i]->Send(Look("4000", "r" + std::to_string(++asked)));
+      }
+      for (const auto& watch : watches) {
+        if (passed % 1s == 0ms) watch->Reply("1\r\n\n\r\n");
+      }
+      loop.Pass(10ms);
+    }
+  };
+  run(10s, 50);
+  const double full = served / 10.0 / kWarm;  // a second, at a warm one
+  const auto started = std::chrono::system_clock::now().time_since_epoch() + Clock::ahead;
+  const std::string line = ListText(
+      2, false,
+      {Replaced(cold, "\"started_ms\":0",
+                "\"started_ms\":" +
+                    std::to_string(std::chrono::floor<std::chrono::milliseconds>(started).count()))});
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+  for (Party::Peer* watch : watches) watch->Reply(size + line + "\n\r\n");
+  const Time start = Clock::now();
+  burst = true;
+  run(6s, 10);
+  double over = -1e9;
+  for (size_t i = 0; i < sends.size(); ++i) {
+    const double age = std::chrono::duration<double>(sends[i] - start).count() / 22;
+    const double budget = 4 * full * (0.13 + 0.87 * age);
+    const auto end = std::lower_bound(sends.begin(), sends.end(), sends[i] + 1s);
+    const double sent = static_cast<double>(end - sends.begin()) - static_cast<double>(i);
+    over = std::max(over, sent - (budget + 2 * std::sqrt(budget) + 2));
+  }
+  return over;
+}
+
+// The ramp is the fleet's, by the settings' count of sidecars alone; and a control, in which each ramps as if
+// it were the only one and the sum pushes the server over.
+TEST_CASE("twenty-five sidecars ramp one cold server within its budget", "[crossings]") {
+  CHECK(MostOverColdBudget(25) <= 0);
+  CHECK(MostOverColdBudget(1) > 0);
+}
+
 // --- Told to end ---
 
 // A process whose end is forced 1.6 s after the notice: closes at 0.8 s, and has answered all at 1.4 s.
