Log how each attempt used its connection, why each request ended, and surplus bytes

Change: events surplus-bytes, attempt-failed and flow-unserved at the usual levels, attempt-ended and flow-ended at level debug, each with ids; ConnectionUse (reused, idle time, responses before, time to the first byte); counter connections_reused_unsettled.

--- a/src/flow/book.cpp
+++ b/src/flow/book.cpp
@@ -35,11 +35,12 @@
 
 }  // namespace
 
-void FlowRecorder::RecordAttemptEnd(Flow* flow, Outcome outcome) const {
+void FlowRecorder::RecordAttemptEnd(Flow* flow, const AttemptResult& result) const {
+  log_.OnAttemptEnd(flow, result);
   if (flow == nullptr) return;
   if (INVARIANT(flow->attempts_in_flight > 0, counters_)) --flow->attempts_in_flight;
   if (flow->attempts_in_flight == 0) flow->state = Flow::State::kDeciding;
-  if (!NeverRan(outcome)) flow->may_have_run = true;
+  if (!NeverRan(result.outcome)) flow->may_have_run = true;
 }
 
 void FlowRecorder::ReportAttempt(const AttemptResult& result, bool settled) const {
@@ -55,9 +56,10 @@
   decisions_.OnAttemptEnd(report);
 }
 
-void FlowRecorder::CloseFlow(FlowId id, FlowEnd end) const {
+void FlowRecorder::CloseFlow(FlowId id, FlowEnd end, FlowEndCause cause) const {
   std::unique_ptr<Flow> flow = flows_.Remove(id);
   if (flow == nullptr) return;
+  log_.OnFlowEnd(*flow, end, cause);
   metrics_.CountFlow(flow->request.request_class, end,
                      metrics_.records_latency() ? Clock::now() - flow->received : Span(0));
   flow->deadline_timer->Stop();
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -35,7 +35,7 @@
   events.on_done = [this, key, server = route.server](ExchangeResult end) {
     attempts_.erase(key);
     const Outcome outcome = OutcomeOf(end);
-    done_({key.first, key.second, server, outcome, end.latency, std::move(end.response)});
+    done_({key.first, key.second, server, outcome, end.latency, std::move(end.response), end.use});
   };
   const ExchangeId exchange = servers_.Start(route.server, route.address, route.timeout, route.send_by,
                                              std::move(events), streams_body);
@@ -86,7 +86,7 @@
   const std::optional<bool> written = servers_.Cancel(cancelled.exchange);
   counters_.Add("attempts_cancelled");
   const Outcome outcome = written.value_or(true) ? Outcome::kCancelled : Outcome::kNotSent;
-  done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}});
+  done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}, {}});
 }
 
 void AttemptSender::CancelUnsent(FlowId flow) {
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -22,6 +22,7 @@
   Outcome outcome = Outcome::kOk;
   Span elapsed{};
   Message response;
+  ConnectionUse use;
 };
 
 class AttemptSender {
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -45,6 +45,11 @@
       {Event::kUnitGoes, "unit-goes", Level::kInfo, false},
       {Event::kDiscoveryAnswered, "discovery-answered", Level::kInfo, true},
       {Event::kDiscoveryCallEnded, "discovery-call-ended", Level::kInfo, true},
+      {Event::kSurplusBytes, "surplus-bytes", Level::kWarning, true},
+      {Event::kAttemptEnded, "attempt-ended", Level::kDebug, false},
+      {Event::kAttemptFailed, "attempt-failed", Level::kInfo, true},
+      {Event::kFlowEnded, "flow-ended", Level::kDebug, false},
+      {Event::kFlowUnserved, "flow-unserved", Level::kInfo, true},
   };
   return kinds;
 }
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -51,6 +51,11 @@
   kUnitGoes,
   kDiscoveryAnswered,
   kDiscoveryCallEnded,
+  kSurplusBytes,
+  kAttemptEnded,
+  kAttemptFailed,
+  kFlowEnded,
+  kFlowUnserved,
 };
 enum class Level { kDebug, kInfo, kWarning, kError };
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -47,9 +47,11 @@
   logger_.flush_on(spdlog::level::debug);
 }
 
+bool Log::Enabled(Event event) const { return logger_.should_log(ToSpdlog(KindOf(event).level)); }
+
 void Log::Say(Event event, const std::string& text, Fields fields) {
   const EventKind& kind = KindOf(event);
-  if (!logger_.should_log(ToSpdlog(kind.level))) return;
+  if (!Enabled(event)) return;
   std::uint64_t held_back = 0;
   if (!limit_.Allow(event, std::chrono::steady_clock::now(), &held_back)) return;
   if (format_ == Format::kText) {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -29,6 +29,8 @@
   // dropped.
   Log(spdlog::sink_ptr sink, Format format, Level min_level, std::string instance);
 
+  // Whether the level of `event` is logged. Lets callers skip building the text of frequent events.
+  bool Enabled(Event event) const;
   // `fields` are written only in JSON lines, so `text` must be complete without them.
   void Say(Event event, const std::string& text, Fields fields = {});
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -28,6 +28,7 @@
       : owner(owner_in),
         server(server_in),
         address(address_in),
+        id(++owner_in.last_connection_),
         stream(owner_in.loop_, this),
         parser(HttpParser::Kind::kResponse) {
     parser.StreamLongBodies();
@@ -41,11 +42,13 @@
   RealServers& owner;
   const ServerId server;
   const Address address;
+  const std::uint64_t id;
   Stream stream;
   HttpParser parser;
   Exchange* exchange = nullptr;  // null: idle
   bool excess_data = false;      // more bytes arrived than the response; don't reuse
-  Time idle_since{};
+  int responses = 0;             // complete ones so far
+  Time idle_since{};             // or since the connect
 };
 
 struct RealServers::Exchange {
@@ -54,7 +57,9 @@
 
   const ExchangeId id;
   ExchangeEvents events;
+  ConnectionUse use;
   Time started{};
+  Time written_at{};
   Time deadline{};
   Time send_by = Time::max();
   bool connecting = false;
@@ -73,8 +78,8 @@
 };
 
 RealServers::RealServers(Loop& loop, const Limits& limits, StreamingBufferLimit& streaming_limit,
-                         Counters& counters)
-    : loop_(loop), limits_(limits), streaming_limit_(streaming_limit), counters_(counters) {}
+                         Counters& counters, log::Log& log)
+    : loop_(loop), limits_(limits), streaming_limit_(streaming_limit), counters_(counters), log_(log) {}
 
 RealServers::~RealServers() = default;
 
@@ -90,8 +95,11 @@
   if (!streams_request) exchange.send_by = send_by;
   exchange.connection = TakeIdle(server, address);
   if (exchange.connection != nullptr) {
-    exchange.connection->exchange = &exchange;
+    Connection& reused = *exchange.connection;
+    reused.exchange = &exchange;
+    exchange.use = {reused.id, true, exchange.started - reused.idle_since, reused.responses, std::nullopt};
     counters_.Add("connections_reused");
+    if (exchange.use.idle < kSettleTime) counters_.Add("connections_reused_unsettled");
     SendRequest(exchange);
     return id;
   }
@@ -104,6 +112,7 @@
   ++open_connections_;
   exchange.connection = std::make_unique<Connection>(*this, server, address);
   exchange.connection->exchange = &exchange;
+  exchange.use.connection = exchange.connection->id;
   exchange.connecting = true;
   ArmTimer(exchange, exchange.started + limits_.connect_timeout);
   // No socket, for example because descriptors ran out; the real server is not to blame.
@@ -154,6 +163,7 @@
 
 void RealServers::OnRequestWritten(Exchange& exchange) {
   exchange.written = true;
+  exchange.written_at = Clock::now();
   if (exchange.streams_request) {
     exchange.started = Clock::now();
     exchange.deadline = exchange.started + exchange.timeout;
@@ -209,6 +219,7 @@
 void RealServers::OnConnected(Connection& connection, bool success) {
   Exchange& exchange = *connection.exchange;
   exchange.connecting = false;
+  connection.idle_since = Clock::now();
   if (!success) return End(exchange, Code::kNotConnected);
   connection.stream.Read();
   SendRequest(exchange);
@@ -219,8 +230,11 @@
   if (exchange == nullptr) {  // unsolicited data: the connection can't be trusted any more
     last_excess_data_ = Clock::now();
     counters_.Add("answers_behind_answers");
+    LogSurplusBytes(connection, bytes.size(), "idle");
     return OnEnd(connection);
   }
+  if (exchange->written && !exchange->use.first_byte)
+    exchange->use.first_byte = Clock::now() - exchange->written_at;
   size_t used = 0;
   const ParseResult parsed = connection.parser.Feed(bytes, &used);
   // Bytes after the response don't belong to it, and later data on this connection can't be trusted.
@@ -228,6 +242,7 @@
     counters_.Add("answers_with_excess");
     last_excess_data_ = Clock::now();
     connection.excess_data = true;
+    LogSurplusBytes(connection, bytes.size() - used, "behind the response");
   }
   OnResponseProgress(connection, parsed);
 }
@@ -245,6 +260,7 @@
       return End(*exchange, Code::kResponse, parser.TakeHead());
     }
     counters_.Add("answers_unasked");
+    LogSurplusBytes(connection, 0, "before the request");
     return End(*exchange, Code::kNotConnected);
   }
   // The server has received the request if it responds.
@@ -294,8 +310,25 @@
   exchange.response_started = true;
 }
 
+void RealServers::LogSurplusBytes(const Connection& connection, size_t bytes, std::string_view when) {
+  const std::string server = PrintAddress(connection.address);
+  const auto after =
+      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - connection.idle_since).count();
+  log_.Say(log::Event::kSurplusBytes,
+           "server " + server + " sent " + std::to_string(bytes) + " bytes " + std::string(when) +
+               ", after " + std::to_string(connection.responses) + " responses on connection " +
+               std::to_string(connection.id),
+           {{"server", server},
+            {"connection", static_cast<std::int64_t>(connection.id)},
+            {"bytes", static_cast<std::int64_t>(bytes)},
+            {"responses", std::int64_t{connection.responses}},
+            {"after_us", std::int64_t{after}},
+            {"when", std::string(when)}});
+}
+
 void RealServers::FinishResponse(Connection& connection) {
   Exchange& exchange = *connection.exchange;
+  ++connection.responses;
   Message response = connection.parser.Take();
   if (exchange.streams_response) response = std::move(exchange.response_head);
   if (response.keep_alive && !connection.excess_data) {
@@ -380,9 +413,10 @@
   if (ended->connection != nullptr) Destroy(std::move(ended->connection));
   const auto done = std::move(ended->events.on_done);
   const Span latency = ended->streams_response ? ended->latency : Clock::now() - ended->started;
+  const ConnectionUse use = ended->use;
   ReleaseBufferSpace(*ended);
   loop_.DestroyLater(std::move(ended));
-  done({code, std::move(response), latency});
+  done({code, std::move(response), latency, use});
 }
 
 std::optional<bool> RealServers::Cancel(ExchangeId id) {
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -12,6 +12,7 @@
 
 #include "counters/counters.h"
 #include "http1/http.h"
+#include "log/log.h"
 #include "loop/loop.h"
 #include "membership/server_list.h"
 #include "passing/room.h"
@@ -20,6 +21,15 @@
 
 using ExchangeId = std::uint64_t;
 
+// How an exchange used its connection, for the log.
+struct ConnectionUse {
+  std::uint64_t connection = 0;    // numbered from the start of the process; 0: the exchange had none
+  bool reused = false;             // the connection has carried other exchanges
+  Span idle{};                     // since the last exchange on it
+  int responses = 0;               // that it has carried before
+  std::optional<Span> first_byte;  // from the last byte of the request to the first of the response
+};
+
 struct ExchangeResult {
   enum class Code {
     kResponse,      // a complete response, or only its head (streamed body, or a long body that is not read)
@@ -34,6 +44,7 @@
   // Up to the complete response, or up to the first body bytes of a streamed response. Starts at the call of
   // Start, or at the last request byte where the request body was streamed.
   Span latency{};
+  ConnectionUse use;
 };
 
 // Callbacks of an exchange. All except make_request and on_done may be empty.
@@ -60,7 +71,8 @@
     int max_connections;
   };
 
-  RealServers(Loop& loop, const Limits& limits, StreamingBufferLimit& streaming_limit, Counters& counters);
+  RealServers(Loop& loop, const Limits& limits, StreamingBufferLimit& streaming_limit, Counters& counters,
+              log::Log& log);
   ~RealServers();
 
   // Starts an exchange on an idle connection, or on a new one. The exchange ends with kNotSent or kReset
@@ -100,6 +112,7 @@
   void EndLater(ExchangeId id, ExchangeResult::Code code);
   void ArmResponseTimer(Exchange& exchange);
   void ReleaseBufferSpace(const Exchange& exchange);
+  void LogSurplusBytes(const Connection& connection, size_t bytes, std::string_view when);
   void OnConnected(Connection& connection, bool success);
   void OnData(Connection& connection, std::string_view bytes);
   void OnEnd(Connection& connection);
@@ -115,10 +128,12 @@
   Limits limits_;
   StreamingBufferLimit& streaming_limit_;
   Counters& counters_;
+  log::Log& log_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   int open_connections_ = 0;
   std::optional<Time> last_excess_data_;  // when a server last sent more than its response
   ExchangeId last_id_ = 0;
+  std::uint64_t last_connection_ = 0;
   std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   std::unordered_map<ServerId, std::vector<std::unique_ptr<Connection>>> idle_;  // newest last
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -39,7 +39,7 @@
       metrics_(config_.class_names, config_.console.has_value()),
       streaming_limit_(config_.memory),
       server_list_(counters_, [this](const ServerListEvent& c) { OnListChange(c); }),
-      servers_(loop, RealServerLimits(config_), streaming_limit_, counters_),
+      servers_(loop, RealServerLimits(config_), streaming_limit_, counters_, *log_),
       decisions_(loop, config_, counters_, *this),
       request_intake_(platform_, counters_,
                       [this](int request_class) { flow_recorder_.CountInvalidRequest(request_class); }),
@@ -63,7 +63,8 @@
              OnResponseData(flow, attempt, std::move(piece));
            }}),
       response_writer_(platform_, config_.settings, counters_),
-      flow_recorder_(loop, flows_, platform_, decisions_, metrics_, counters_),
+      flow_recorder_(loop, flows_, platform_, decisions_, metrics_, counters_,
+                     FlowLog(*log_, server_list_, config_.class_names)),
       listener_(loop, [this] { AcceptConnection(); }),
       edge_limit_(MaxEdgeConnections(config_)),
       start_timer_(loop, [this] { StartServing(); }),
@@ -289,19 +290,19 @@
 // A streaming body may turn out malformed or too slow after its flow began: the flow ends with the error
 // response.
 void Sidecar::OnInvalidRequest(EdgeConnection& edge, ParseResult why) {
-  AbandonFlow(edge, FlowEnd::kFailed);
+  AbandonFlow(edge, FlowEnd::kFailed, FlowEndCause::kMalformedBody);
   request_intake_.RespondToInvalidRequest(edge, why);
 }
 
 void Sidecar::OnRequestTimeout(EdgeConnection& edge) {
-  AbandonFlow(edge, FlowEnd::kFailed);
+  AbandonFlow(edge, FlowEnd::kFailed, FlowEndCause::kSlowBody);
   request_intake_.RespondToSlowRequest(edge);
 }
 
-void Sidecar::AbandonFlow(EdgeConnection& edge, FlowEnd ending) {
+void Sidecar::AbandonFlow(EdgeConnection& edge, FlowEnd ending, FlowEndCause cause) {
   const FlowId flow = std::exchange(edge.flow, 0);
   if (flow == 0) return;
-  flow_recorder_.CloseFlow(flow, ending);
+  flow_recorder_.CloseFlow(flow, ending, cause);
   attempt_sender_.CancelUnsent(flow);
   decisions_.OnClientGone(flow);
 }
@@ -327,7 +328,7 @@
   edges_.erase(it);
   closed->Close();
   if (closed->flow != 0) counters_.Add("flows_left");
-  AbandonFlow(*closed, FlowEnd::kClientGone);
+  AbandonFlow(*closed, FlowEnd::kClientGone, FlowEndCause::kClientGone);
   loop_.DestroyLater(std::move(closed));
   OnIdle();
   NotifyIfDrained();
@@ -346,23 +347,26 @@
   if (flow != nullptr && flow->receiving_body) flow->deadline = Clock::now() + flow->request.time_left;
   const auto routed = flow == nullptr ? std::nullopt : attempt_router_(*flow, server, time_out, send_within);
   if (routed) return attempt_sender_(*flow, attempt, *routed);
-  flow_recorder_.ReportAttempt({id, attempt, server, Outcome::kNotSent, {}, {}}, flow == nullptr);
+  flow_recorder_.ReportAttempt({id, attempt, server, Outcome::kNotSent, {}, {}, {}}, flow == nullptr);
 }
 
 void Sidecar::OnAttemptEnd(AttemptResult result) {
   Flow* flow = flows_.Find(result.flow);
   ReportConnectionResult(result.server, result.outcome);
   if (zone_watch_) zone_watch_->OnAttemptEnd(result.server, result.outcome, result.elapsed);
-  flow_recorder_.RecordAttemptEnd(flow, result.outcome);
+  flow_recorder_.RecordAttemptEnd(flow, result);
   if (flow != nullptr && result.outcome == Outcome::kUnfit) flow->unfit_status = result.response.status;
   const bool served = flow != nullptr && result.outcome == Outcome::kOk;
   const bool streaming = flow != nullptr && flow->streaming_response;
   if (streaming) {
-    flow_recorder_.CloseFlow(result.flow, served ? response_writer_.FinishStreaming(*flow)
-                                                 : response_writer_.AbortStreaming(*flow));
+    const FlowEnd end =
+        served ? response_writer_.FinishStreaming(*flow) : response_writer_.AbortStreaming(*flow);
+    flow_recorder_.CloseFlow(result.flow, end,
+                             served ? FlowEndCause::kResponse : FlowEndCause::kResponseBroke);
   } else if (served) {
     flow_recorder_.CloseFlow(result.flow,
-                             response_writer_.SendServed(*flow, result.response, ClosesAfterResponse(*flow)));
+                             response_writer_.SendServed(*flow, result.response, ClosesAfterResponse(*flow)),
+                             FlowEndCause::kResponse);
   }
   flow_recorder_.ReportAttempt(result, served || streaming || flow == nullptr);
 }
@@ -384,14 +388,15 @@
 void Sidecar::RejectFlow(FlowId id, std::chrono::microseconds retry_after) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
-  flow_recorder_.CloseFlow(id,
-                           response_writer_.SendRejection(*flow, retry_after, ClosesAfterResponse(*flow)));
+  flow_recorder_.CloseFlow(id, response_writer_.SendRejection(*flow, retry_after, ClosesAfterResponse(*flow)),
+                           FlowEndCause::kModuleRejected);
 }
 
 void Sidecar::FailFlow(FlowId id) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
-  flow_recorder_.CloseFlow(id, response_writer_.SendFailure(*flow, ClosesAfterResponse(*flow)));
+  flow_recorder_.CloseFlow(id, response_writer_.SendFailure(*flow, ClosesAfterResponse(*flow)),
+                           FlowEndCause::kModuleFailed);
 }
 
 // A member source may keep servers that its list no longer has for as long as they can be reached.
@@ -408,7 +413,8 @@
   Flow* flow = flows_.Find(id);
   if (flow == nullptr) return;
   counters_.Add("flows_last_call");
-  flow_recorder_.CloseFlow(id, response_writer_.SendFailure(*flow, ClosesAfterResponse(*flow)));
+  flow_recorder_.CloseFlow(id, response_writer_.SendFailure(*flow, ClosesAfterResponse(*flow)),
+                           FlowEndCause::kFinalDeadline);
   decisions_.OnClientGone(id);
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -85,7 +85,7 @@
   void PauseAccepting();
   bool ShedOldestEdge();
   void AdmitRequest(EdgeConnection& edge, Message message, bool long_body);
-  void AbandonFlow(EdgeConnection& edge, FlowEnd ending);
+  void AbandonFlow(EdgeConnection& edge, FlowEnd ending, FlowEndCause cause);
   const Flow* FindFlowWithClient(FlowId flow);
   void OnResponseHead(FlowId flow, int attempt, const Message& head);
   void OnResponseData(FlowId flow, int attempt, std::string piece);
