--- a/examples/party.h
+++ b/examples/party.h
@@ -66,6 +66,7 @@
     setsockopt(listener_.fd(), SOL_SOCKET, SO_RCVBUF, &little, sizeof little);
   }
   std::function<void(Peer&)> script;
+  std::function<void(Peer&)> on_accept;  // may be empty
   std::vector<std::unique_ptr<Peer>> peers;
   int requests = 0;
 
@@ -74,6 +75,7 @@
     peers.push_back(std::make_unique<Peer>(loop_, *this));
     peers.back()->stream.Accept(listener_);
     if (!holds_) peers.back()->stream.Read();
+    if (on_accept) on_accept(*peers.back());
   }
   Loop& loop_;
   Listener listener_;
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -64,6 +64,17 @@
   }
 }
 
+// Fails if what a server writes on a new connection before the request is written is passed on as its
+// response.
+TEST_CASE("bytes that a server sends before the request are not passed on", "[crossings]") {
+  Site site(1);
+  site.real[0]->on_accept = [](Party::Peer& peer) { peer.Answer(200, "before the request"); };
+  site.Script([](Party::Peer& peer) { peer.Answer(200, "true"); });
+  for (int i = 0; i < 4; ++i) {
+    CHECK(site.Ask(Look("500", "r" + std::to_string(i))).body != "before the request");
+  }
+}
+
 // Fails if a client gets the response to another request: the server sends a response twice, and the copy
 // arrives when the connection is in use again.
 TEST_CASE("after duplicate responses a connection is not reused before it has settled", "[crossings]") {
