Move the idle connections to real servers into a class of their own

Cause: which connection may be used again is one decision, spread over a file of 500 lines. Change: IdleConnections and ServerConnection in files of their own; behaviour as before.

--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -1,7 +1,6 @@
 #include "server/real_server.h"
 
 #include <algorithm>
-#include <cstring>
 
 namespace umberdyke::net {
 
@@ -14,46 +13,16 @@
 constexpr Span kResponseStallTimeout = 250ms;
 // How long a response of unknown length is buffered, waiting for its end, before it is streamed.
 constexpr Span kResponseHoldTime = 100ms;
-// A second response on a connection arrives within this time of the first.
-constexpr Span kSettleTime = 25ms;
-// How long servers that sent excess data are expected to do so again.
-constexpr Span kExcessDataWindow = 60s;
+// Idle times below this are counted: excess data arrives within milliseconds.
+constexpr Span kUnsettledTime = 25ms;
 // Limit without progress for a streaming body, in either direction.
 constexpr Span kStreamStallTimeout = 10s;
 
 }  // namespace
 
-struct RealServers::Connection : StreamCallbacks {
-  Connection(RealServers& owner_in, ServerId server_in, const Address& address_in)
-      : owner(owner_in),
-        server(server_in),
-        address(address_in),
-        id(++owner_in.last_connection_),
-        stream(owner_in.loop_, this),
-        parser(HttpParser::Kind::kResponse) {
-    parser.StreamLongBodies();
-  }
-
-  void OnConnected(bool success) override { owner.OnConnected(*this, success); }
-  void OnData(std::string_view bytes) override { owner.OnData(*this, bytes); }
-  void OnEnd() override { owner.OnEnd(*this); }
-  void OnWritten(bool success) override { owner.OnWritten(*this, success); }
-
-  RealServers& owner;
-  const ServerId server;
-  const Address address;
-  const std::uint64_t id;
-  Stream stream;
-  HttpParser parser;
-  Exchange* exchange = nullptr;  // null: idle
-  bool excess_data = false;      // more bytes arrived than the response; don't reuse
-  int responses = 0;             // complete ones so far
-  Time idle_since{};             // or since the connect
-};
-
-struct RealServers::Exchange {
-  Exchange(RealServers& owner, ExchangeId i)
-      : id(i), timer(owner.loop_, [&owner, i] { owner.OnTimeout(i); }) {}
+struct ServerExchange {
+  ServerExchange(Loop& loop, ExchangeId i, const std::function<void(ExchangeId)>& on_timeout)
+      : id(i), timer(loop, [on_timeout, i] { on_timeout(i); }) {}
 
   const ExchangeId id;
   ExchangeEvents events;
@@ -73,33 +42,40 @@
   Span timeout{};                      // for the response to a streaming request; starts after the body
   Span latency{};                      // of a streamed response
   Message response_head;               // of a streamed response
-  std::unique_ptr<Connection> connection;
+  std::unique_ptr<ServerConnection> connection;
   Timer timer;
 };
 
 RealServers::RealServers(Loop& loop, const Limits& limits, StreamingBufferLimit& streaming_limit,
                          Counters& counters, log::Log& log)
-    : loop_(loop), limits_(limits), streaming_limit_(streaming_limit), counters_(counters), log_(log) {}
+    : loop_(loop),
+      limits_(limits),
+      streaming_limit_(streaming_limit),
+      counters_(counters),
+      log_(log),
+      idle_(limits.idle_timeout,
+            [this](std::unique_ptr<ServerConnection> connection) { Destroy(std::move(connection)); }) {}
 
 RealServers::~RealServers() = default;
 
 ExchangeId RealServers::Start(ServerId server, const Address& address, Span timeout, Time send_by,
                               ExchangeEvents events, bool streams_request) {
   const ExchangeId id = ++last_id_;
-  Exchange& exchange = *(exchanges_[id] = std::make_unique<Exchange>(*this, id));
+  ServerExchange& exchange = *(exchanges_[id] = std::make_unique<ServerExchange>(
+                                   loop_, id, [this](ExchangeId timed_out) { OnTimeout(timed_out); }));
   exchange.events = std::move(events);
   exchange.streams_request = streams_request;
   if (streams_request) streaming_limit_.BeginTransfer();
   exchange.started = Clock::now();
   exchange.deadline = exchange.started + timeout;
   if (!streams_request) exchange.send_by = send_by;
-  exchange.connection = TakeIdle(server, address);
+  exchange.connection = idle_.Take(server, address);
   if (exchange.connection != nullptr) {
-    Connection& reused = *exchange.connection;
+    ServerConnection& reused = *exchange.connection;
     reused.exchange = &exchange;
     exchange.use = {reused.id, true, exchange.started - reused.idle_since, reused.responses, std::nullopt};
     counters_.Add("connections_reused");
-    if (exchange.use.idle < kSettleTime) counters_.Add("connections_reused_unsettled");
+    if (exchange.use.idle < kUnsettledTime) counters_.Add("connections_reused_unsettled");
     SendRequest(exchange);
     return id;
   }
@@ -110,7 +86,7 @@
   }
   counters_.Add("connections_opened");
   ++open_connections_;
-  exchange.connection = std::make_unique<Connection>(*this, server, address);
+  exchange.connection = std::make_unique<ServerConnection>(loop_, *this, ++last_connection_, server, address);
   exchange.connection->exchange = &exchange;
   exchange.use.connection = exchange.connection->id;
   exchange.connecting = true;
@@ -125,14 +101,14 @@
 }
 
 // Arms the timer for `limit`, but no later than the deadline of the exchange and its send_by time.
-void RealServers::ArmTimer(Exchange& exchange, Time limit) {
+void RealServers::ArmTimer(ServerExchange& exchange, Time limit) {
   const Time deadline = std::min({limit, exchange.deadline, exchange.send_by});
   exchange.timer.Start(std::max<Span>(deadline - Clock::now(), Span::zero()));
 }
 
 // Builds the request only now: while the connection was opened, the server list may have changed, the client
 // may have left, and part of the timeout has passed.
-void RealServers::SendRequest(Exchange& exchange) {
+void RealServers::SendRequest(ServerExchange& exchange) {
   const Time now = Clock::now();
   std::optional<std::string> request;
   if (now < exchange.send_by)
@@ -161,7 +137,7 @@
   });
 }
 
-void RealServers::OnRequestWritten(Exchange& exchange) {
+void RealServers::OnRequestWritten(ServerExchange& exchange) {
   exchange.written = true;
   exchange.written_at = Clock::now();
   if (exchange.streams_request) {
@@ -216,8 +192,8 @@
   it->second->connection->stream.Read();
 }
 
-void RealServers::OnConnected(Connection& connection, bool success) {
-  Exchange& exchange = *connection.exchange;
+void RealServers::OnConnected(ServerConnection& connection, bool success) {
+  ServerExchange& exchange = *connection.exchange;
   exchange.connecting = false;
   connection.idle_since = Clock::now();
   if (!success) return End(exchange, Code::kNotConnected);
@@ -225,10 +201,10 @@
   SendRequest(exchange);
 }
 
-void RealServers::OnData(Connection& connection, std::string_view bytes) {
-  Exchange* exchange = connection.exchange;
+void RealServers::OnData(ServerConnection& connection, std::string_view bytes) {
+  ServerExchange* exchange = connection.exchange;
   if (exchange == nullptr) {  // unsolicited data: the connection can't be trusted any more
-    last_excess_data_ = Clock::now();
+    idle_.OnExcessData();
     counters_.Add("answers_behind_answers");
     LogSurplusBytes(connection, bytes.size(), "idle");
     return OnEnd(connection);
@@ -240,7 +216,7 @@
   // Bytes after the response don't belong to it, and later data on this connection can't be trusted.
   if (parsed == ParseResult::kComplete && used < bytes.size()) {
     counters_.Add("answers_with_excess");
-    last_excess_data_ = Clock::now();
+    idle_.OnExcessData();
     connection.excess_data = true;
     LogSurplusBytes(connection, bytes.size() - used, "behind the response");
   }
@@ -248,8 +224,8 @@
 }
 
 // Handles the part of a response that has arrived so far, or the complete response.
-void RealServers::OnResponseProgress(Connection& connection, ParseResult parsed) {
-  Exchange* exchange = connection.exchange;
+void RealServers::OnResponseProgress(ServerConnection& connection, ParseResult parsed) {
+  ServerExchange* exchange = connection.exchange;
   HttpParser& parser = connection.parser;
   // Before the request is completely written, only an error status for a streaming request body is accepted.
   if (!exchange->written) {
@@ -292,7 +268,7 @@
 }
 
 // Arms the timer for the next part of the response.
-void RealServers::ArmResponseTimer(Exchange& exchange) {
+void RealServers::ArmResponseTimer(ServerExchange& exchange) {
   const HttpParser& parser = exchange.connection->parser;
   if (exchange.streams_response) {
     if (!exchange.paused) exchange.timer.Start(kStreamStallTimeout);
@@ -310,7 +286,7 @@
   exchange.response_started = true;
 }
 
-void RealServers::LogSurplusBytes(const Connection& connection, size_t bytes, std::string_view when) {
+void RealServers::LogSurplusBytes(const ServerConnection& connection, size_t bytes, std::string_view when) {
   const std::string server = PrintAddress(connection.address);
   const auto after =
       std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - connection.idle_since).count();
@@ -326,21 +302,17 @@
             {"when", std::string(when)}});
 }
 
-void RealServers::FinishResponse(Connection& connection) {
-  Exchange& exchange = *connection.exchange;
+void RealServers::FinishResponse(ServerConnection& connection) {
+  ServerExchange& exchange = *connection.exchange;
   ++connection.responses;
   Message response = connection.parser.Take();
   if (exchange.streams_response) response = std::move(exchange.response_head);
-  if (response.keep_alive && !connection.excess_data) {
-    connection.exchange = nullptr;
-    connection.idle_since = Clock::now();
-    idle_[connection.server].push_back(std::move(exchange.connection));
-  }
+  if (response.keep_alive && !connection.excess_data) idle_.Add(std::move(exchange.connection));
   End(exchange, Code::kResponse, std::move(response));
 }
 
-void RealServers::OnEnd(Connection& connection) {
-  if (Exchange* exchange = connection.exchange; exchange != nullptr) {
+void RealServers::OnEnd(ServerConnection& connection) {
+  if (ServerExchange* exchange = connection.exchange; exchange != nullptr) {
     // A response without a length ends when the server closes the connection cleanly.
     const bool complete_at_close = exchange->written && connection.stream.closed_cleanly() &&
                                    connection.parser.head_complete() &&
@@ -351,18 +323,13 @@
     }
     return End(*exchange, exchange->written ? Code::kReset : Code::kNotConnected);
   }
-  auto& idle = idle_[connection.server];
-  const auto it =
-      std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == &connection; });
-  if (!INVARIANT(it != idle.end(), counters_)) return;
-  std::unique_ptr<Connection> gone = std::move(*it);
-  idle.erase(it);
-  Destroy(std::move(gone));
+  std::unique_ptr<ServerConnection> ended = idle_.Remove(connection);
+  if (INVARIANT(ended != nullptr, counters_)) Destroy(std::move(ended));
 }
 
-void RealServers::OnWritten(Connection& connection, bool success) {
+void RealServers::OnWritten(ServerConnection& connection, bool success) {
   if (connection.exchange == nullptr) return;
-  Exchange& exchange = *connection.exchange;
+  ServerExchange& exchange = *connection.exchange;
   if (!success) return End(exchange, Code::kNotConnected);
   if (!exchange.streams_request) return OnRequestWritten(exchange);
   exchange.timer.Start(kStreamStallTimeout);
@@ -377,7 +344,7 @@
 void RealServers::OnTimeout(ExchangeId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
-  Exchange& exchange = *it->second;
+  ServerExchange& exchange = *it->second;
   if (Clock::now() >= exchange.send_by) {
     const bool held_back = !exchange.connecting && exchange.connection->stream.HasUnackedBytes();
     if (exchange.written && !held_back) {  // the server has received the request
@@ -405,9 +372,9 @@
 }
 
 // The connection is closed or idle before on_done runs, so that two attempts are never in flight at once.
-void RealServers::End(Exchange& exchange, Code code, Message response) {
+void RealServers::End(ServerExchange& exchange, Code code, Message response) {
   const auto it = exchanges_.find(exchange.id);
-  std::unique_ptr<Exchange> ended = std::move(it->second);
+  std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
   ended->timer.Stop();
   if (ended->connection != nullptr) Destroy(std::move(ended->connection));
@@ -422,7 +389,7 @@
 std::optional<bool> RealServers::Cancel(ExchangeId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return std::nullopt;
-  std::unique_ptr<Exchange> ended = std::move(it->second);
+  std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
   ended->timer.Stop();
   ReleaseBufferSpace(*ended);
@@ -432,42 +399,11 @@
   return written;
 }
 
-void RealServers::ReleaseBufferSpace(const Exchange& exchange) {
+void RealServers::ReleaseBufferSpace(const ServerExchange& exchange) {
   if (exchange.streams_request) streaming_limit_.EndTransfer();
   if (exchange.streams_response) streaming_limit_.EndTransfer();
 }
 
-bool RealServers::WithinIdleTimeout(const Connection& connection) const {
-  const auto margin = std::min<std::chrono::microseconds>(limits_.idle_timeout / 5, std::chrono::seconds(1));
-  return Clock::now() - connection.idle_since < limits_.idle_timeout - margin;
-}
-
-// Returns an idle connection, or null. The checks keep the rest of an earlier response from being read as the
-// next one: a connection with unread bytes is closed, and connections idle for at least kSettleTime are
-// preferred, because excess data arrives within milliseconds. The newest of these is taken; the others can
-// expire. A connection that has not settled is used only if there is no other, because back-to-back requests
-// would otherwise open a new connection each, and only if no server sent excess data within
-// kExcessDataWindow.
-std::unique_ptr<RealServers::Connection> RealServers::TakeIdle(ServerId server, const Address& address) {
-  const auto it = idle_.find(server);
-  if (it == idle_.end()) return nullptr;
-  auto& idle = it->second;  // newest last
-  const Time now = Clock::now();
-  const bool recent_excess_data = last_excess_data_ && now - *last_excess_data_ < kExcessDataWindow;
-  while (!idle.empty()) {
-    const auto settled = std::find_if(idle.rbegin(), idle.rend(),
-                                      [&](const auto& c) { return now - c->idle_since >= kSettleTime; });
-    if (settled == idle.rend() && recent_excess_data) return nullptr;
-    const auto at = settled == idle.rend() ? std::prev(idle.end()) : std::prev(settled.base());
-    std::unique_ptr<Connection> connection = std::move(*at);
-    idle.erase(at);
-    const bool same = std::memcmp(&connection->address, &address, sizeof address) == 0;
-    if (same && WithinIdleTimeout(*connection) && connection->stream.ReadWouldBlock()) return connection;
-    Destroy(std::move(connection));
-  }
-  return nullptr;
-}
-
 void RealServers::SetMaxConnections(int descriptors) {
   limits_.max_connections = descriptors;
   while (open_connections_ > descriptors && CloseOldestIdle()) {
@@ -475,38 +411,12 @@
 }
 
 bool RealServers::CloseOldestIdle() {
-  std::vector<std::unique_ptr<Connection>>* oldest = nullptr;
-  for (auto& [server, idle] : idle_) {
-    if (!idle.empty() && (oldest == nullptr || idle.front()->idle_since < oldest->front()->idle_since))
-      oldest = &idle;
-  }
-  if (oldest == nullptr) return false;
-  std::unique_ptr<Connection> connection = std::move(oldest->front());
-  oldest->erase(oldest->begin());
-  Destroy(std::move(connection));
+  if (!idle_.CloseOldest()) return false;
   counters_.Add("connections_shed");
   return true;
 }
 
-void RealServers::CloseIdle(ServerId server) {
-  const auto it = idle_.find(server);
-  if (it == idle_.end()) return;
-  for (auto& connection : it->second) Destroy(std::move(connection));
-  idle_.erase(it);
-}
-
-void RealServers::CloseExpired() {
-  for (auto it = idle_.begin(); it != idle_.end();) {
-    auto& idle = it->second;
-    while (!idle.empty() && !WithinIdleTimeout(*idle.front())) {
-      Destroy(std::move(idle.front()));
-      idle.erase(idle.begin());
-    }
-    it = idle.empty() ? idle_.erase(it) : std::next(it);  // new servers get new numbers
-  }
-}
-
-void RealServers::Destroy(std::unique_ptr<Connection> connection) {
+void RealServers::Destroy(std::unique_ptr<ServerConnection> connection) {
   connection->stream.Abort();
   connection->exchange = nullptr;
   --open_connections_;
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -16,6 +16,8 @@
 #include "loop/loop.h"
 #include "membership/server_list.h"
 #include "passing/room.h"
+#include "server/connection.h"
+#include "server/idle_connections.h"
 
 namespace umberdyke::net {
 
@@ -63,7 +65,7 @@
   std::function<void(ExchangeResult)> on_done;
 };
 
-class RealServers {
+class RealServers : public ServerConnectionOwner {
  public:
   struct Limits {
     std::chrono::microseconds connect_timeout;
@@ -92,37 +94,32 @@
   // written, or nothing for an exchange that has already ended.
   std::optional<bool> Cancel(ExchangeId exchange);
   // Closes the idle connections to `server`.
-  void CloseIdle(ServerId server);
+  void CloseIdle(ServerId server) { idle_.CloseAll(server); }
   // Closes idle connections that are close to the idle timeout.
-  void CloseExpired();
+  void CloseExpired() { idle_.CloseExpired(); }
   bool IsWritten(ExchangeId id) const;  // the last byte of the request is written
   // Sets the connection limit and closes idle connections above it.
   void SetMaxConnections(int max_connections);
   int open_connections() const { return open_connections_; }
 
  private:
-  struct Connection;
-  struct Exchange;
-
-  void SendRequest(Exchange& exchange);
-  void ArmTimer(Exchange& exchange, Time limit);
-  void OnRequestWritten(Exchange& exchange);
-  void OnResponseProgress(Connection& connection, ParseResult parsed);
-  void FinishResponse(Connection& connection);
+  void SendRequest(ServerExchange& exchange);
+  void ArmTimer(ServerExchange& exchange, Time limit);
+  void OnRequestWritten(ServerExchange& exchange);
+  void OnResponseProgress(ServerConnection& connection, ParseResult parsed);
+  void FinishResponse(ServerConnection& connection);
   void EndLater(ExchangeId id, ExchangeResult::Code code);
-  void ArmResponseTimer(Exchange& exchange);
-  void ReleaseBufferSpace(const Exchange& exchange);
-  void LogSurplusBytes(const Connection& connection, size_t bytes, std::string_view when);
-  void OnConnected(Connection& connection, bool success);
-  void OnData(Connection& connection, std::string_view bytes);
-  void OnEnd(Connection& connection);
-  void OnWritten(Connection& connection, bool success);
+  void ArmResponseTimer(ServerExchange& exchange);
+  void ReleaseBufferSpace(const ServerExchange& exchange);
+  void LogSurplusBytes(const ServerConnection& connection, size_t bytes, std::string_view when);
+  void OnConnected(ServerConnection& connection, bool success) override;
+  void OnData(ServerConnection& connection, std::string_view bytes) override;
+  void OnEnd(ServerConnection& connection) override;
+  void OnWritten(ServerConnection& connection, bool success) override;
   void OnTimeout(ExchangeId id);
-  void End(Exchange& exchange, ExchangeResult::Code code, Message response = {});
-  std::unique_ptr<Connection> TakeIdle(ServerId server, const Address& address);
+  void End(ServerExchange& exchange, ExchangeResult::Code code, Message response = {});
   bool CloseOldestIdle();
-  void Destroy(std::unique_ptr<Connection> connection);
-  bool WithinIdleTimeout(const Connection& connection) const;
+  void Destroy(std::unique_ptr<ServerConnection> connection);
 
   Loop& loop_;
   Limits limits_;
@@ -131,11 +128,10 @@
   log::Log& log_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   int open_connections_ = 0;
-  std::optional<Time> last_excess_data_;  // when a server last sent more than its response
   ExchangeId last_id_ = 0;
   std::uint64_t last_connection_ = 0;
-  std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
-  std::unordered_map<ServerId, std::vector<std::unique_ptr<Connection>>> idle_;  // newest last
+  std::unordered_map<ExchangeId, std::unique_ptr<ServerExchange>> exchanges_;
+  IdleConnections idle_;
 };
 
 }  // namespace umberdyke::net
