Let connections to servers rest after each response before they are used again

Cause: HTTP/1.1 matches responses to requests by order alone. A server that sends a second copy some milliseconds late has it read as the response to the next request on that connection. Change: every connection rests 25 ms after a response, always. An exchange that finds only resting ones waits for the first, beside a new connection that is opened for it, and takes what is ready first. Tests: the process test with copies 2, 10 and 20 ms late failed before and passes.

--- a/src/server/connection.h
+++ b/src/server/connection.h
@@ -52,7 +52,7 @@
   ServerExchange* exchange = nullptr;  // null: idle
   bool excess_data = false;            // more bytes arrived than the response; don't reuse
   int responses = 0;                   // complete ones so far
-  Time idle_since{};                   // or since the connect
+  Time idle_since{};                   // or since the start or end of the connect
 };
 
 }  // namespace umberdyke::net
--- a/src/server/idle_connections.cpp
+++ b/src/server/idle_connections.cpp
@@ -8,10 +8,9 @@
 
 using namespace std::chrono_literals;
 
-// A second response on a connection arrives within this time of the first.
-constexpr Span kSettleTime = 25ms;
-// How long servers that sent excess data are expected to do so again.
-constexpr Span kExcessDataWindow = 60s;
+// How long a connection rests after a response. A server that sends more than its response, such as a second
+// copy of it, does so within some milliseconds.
+constexpr Span kRestTime = 25ms;
 constexpr Span kMaxIdleMargin = 1s;
 
 }  // namespace
@@ -22,22 +21,16 @@
   idle_[connection->server].push_back(std::move(connection));
 }
 
-// The checks keep the rest of an earlier response from being read as the next one: a connection with unread
-// bytes is closed, and connections idle for at least kSettleTime are preferred, because excess data arrives
-// within milliseconds. The newest of these is taken; the others can expire. A connection that has not settled
-// is used only if there is no other, because back-to-back requests would otherwise open a new connection
-// each, and only if no server sent excess data within kExcessDataWindow.
+// A connection with unread bytes is closed. Of the rested connections the newest is taken, so that the others
+// expire; where none has rested, the one that will have first.
 std::unique_ptr<ServerConnection> IdleConnections::Take(ServerId server, const Address& address) {
   const auto it = idle_.find(server);
   if (it == idle_.end()) return nullptr;
   Connections& idle = it->second;
-  const Time now = Clock::now();
-  const bool recent_excess_data = last_excess_data_ && now - *last_excess_data_ < kExcessDataWindow;
   while (!idle.empty()) {
-    const auto settled = std::find_if(idle.rbegin(), idle.rend(),
-                                      [&](const auto& c) { return now - c->idle_since >= kSettleTime; });
-    if (settled == idle.rend() && recent_excess_data) return nullptr;
-    const auto at = settled == idle.rend() ? std::prev(idle.end()) : std::prev(settled.base());
+    const auto newest_rested = std::find_if(idle.rbegin(), idle.rend(),
+                                            [this](const auto& c) { return RestLeft(*c) == Span::zero(); });
+    const auto at = newest_rested == idle.rend() ? idle.begin() : std::prev(newest_rested.base());
     std::unique_ptr<ServerConnection> connection = std::move(*at);
     idle.erase(at);
     const bool same = std::memcmp(&connection->address, &address, sizeof address) == 0;
@@ -47,6 +40,20 @@
   return nullptr;
 }
 
+void IdleConnections::PutBack(std::unique_ptr<ServerConnection> connection) {
+  connection->exchange = nullptr;
+  Connections& idle = idle_[connection->server];
+  const auto newer = std::find_if(idle.begin(), idle.end(),
+                                  [&](const auto& c) { return c->idle_since > connection->idle_since; });
+  idle.insert(newer, std::move(connection));
+}
+
+Span IdleConnections::RestLeft(const ServerConnection& connection) const {
+  if (connection.responses == 0) return Span::zero();
+  const Span rest_time = std::min<Span>(kRestTime, idle_timeout_ / 2);
+  return std::max<Span>(connection.idle_since + rest_time - Clock::now(), Span::zero());
+}
+
 std::unique_ptr<ServerConnection> IdleConnections::Remove(const ServerConnection& connection) {
   Connections& idle = idle_[connection.server];
   const auto it =
--- a/src/server/idle_connections.h
+++ b/src/server/idle_connections.h
@@ -1,10 +1,13 @@
-// The idle connections to each real server, and which of them may carry the next exchange.
+// The idle connections to each real server, and which of them carries the next exchange.
+//
+// HTTP/1.1 matches a response to its request by order alone: surplus bytes of one response that arrive once
+// the connection is in use again would be taken for the next response. So a connection rests after each
+// response until such bytes would have arrived.
 #ifndef UMBERDYKE_SERVER_IDLE_CONNECTIONS_H_
 #define UMBERDYKE_SERVER_IDLE_CONNECTIONS_H_
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -23,8 +26,11 @@
 
   // The connection is idle from now on.
   void Add(std::unique_ptr<ServerConnection> connection);
-  // Returns a connection that may carry an exchange, or null.
+  // Returns a connection for the next exchange, or null. It may carry the exchange once RestLeft is zero.
   std::unique_ptr<ServerConnection> Take(ServerId server, const Address& address);
+  // Returns a connection that was taken and has carried nothing since.
+  void PutBack(std::unique_ptr<ServerConnection> connection);
+  Span RestLeft(const ServerConnection& connection) const;
   // Returns null if the connection is not idle.
   std::unique_ptr<ServerConnection> Remove(const ServerConnection& connection);
   // Closes the connection that has been idle longest; returns false if there is none.
@@ -32,8 +38,6 @@
   void CloseAll(ServerId server);
   // Closes connections that are close to the idle timeout.
   void CloseExpired();
-  // A server sent more than its response.
-  void OnExcessData() { last_excess_data_ = Clock::now(); }
 
  private:
   using Connections = std::vector<std::unique_ptr<ServerConnection>>;  // newest last
@@ -41,7 +45,6 @@
 
   const Span idle_timeout_;
   const Discard discard_;
-  std::optional<Time> last_excess_data_;
   std::unordered_map<ServerId, Connections> idle_;
 };
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -1,6 +1,7 @@
 #include "server/real_server.h"
 
 #include <algorithm>
+#include <cstring>
 
 namespace umberdyke::net {
 
@@ -13,8 +14,8 @@
 constexpr Span kResponseStallTimeout = 250ms;
 // How long a response of unknown length is buffered, waiting for its end, before it is streamed.
 constexpr Span kResponseHoldTime = 100ms;
-// Idle times below this are counted: excess data arrives within milliseconds.
-constexpr Span kUnsettledTime = 25ms;
+// A spare connection that is not established by then is given up. Slow networks need over a second.
+constexpr Span kSpareConnectTimeout = 2s;
 // Limit without progress for a streaming body, in either direction.
 constexpr Span kStreamStallTimeout = 10s;
 
@@ -32,6 +33,7 @@
   Time deadline{};
   Time send_by = Time::max();
   bool connecting = false;
+  bool awaiting_rest = false;  // the connection still rests after its last response
   bool written = false;
   bool response_started = false;       // part of the response has arrived
   bool streams_request = false;        // the request body is streamed
@@ -69,35 +71,98 @@
   exchange.started = Clock::now();
   exchange.deadline = exchange.started + timeout;
   if (!streams_request) exchange.send_by = send_by;
+  Assign(exchange, server, address);
+  return id;
+}
+
+// Gives the exchange an idle connection or a new one.
+void RealServers::Assign(ServerExchange& exchange, ServerId server, const Address& address) {
   exchange.connection = idle_.Take(server, address);
-  if (exchange.connection != nullptr) {
-    ServerConnection& reused = *exchange.connection;
-    reused.exchange = &exchange;
-    exchange.use = {reused.id, true, exchange.started - reused.idle_since, reused.responses, std::nullopt};
-    counters_.Add("connections_reused");
-    if (exchange.use.idle < kUnsettledTime) counters_.Add("connections_reused_unsettled");
-    SendRequest(exchange);
-    return id;
-  }
+  if (exchange.connection == nullptr) return OpenConnection(exchange, server, address);
+  exchange.connection->exchange = &exchange;
+  const Span rest_left = idle_.RestLeft(*exchange.connection);
+  if (rest_left == Span::zero()) return Reuse(exchange);
+  counters_.Add("connections_awaited");
+  exchange.awaiting_rest = true;
+  ArmTimer(exchange, Clock::now() + rest_left);
+  OpenSpare(server, address);
+}
+
+// Opens a connection that the next exchange that waits for a rested one gets. One at a time for each server.
+void RealServers::OpenSpare(ServerId server, const Address& address) {
+  if (open_connections_ >= limits_.max_connections || spares_.contains(server)) return;
+  std::unique_ptr<ServerConnection> spare = Connect(server, address);
+  if (spare != nullptr) spares_.emplace(server, std::move(spare));
+}
+
+void RealServers::OnSpareConnected(ServerConnection& connection, bool success) {
+  const auto it = spares_.find(connection.server);
+  if (!INVARIANT(it != spares_.end() && it->second.get() == &connection, counters_)) return;
+  std::unique_ptr<ServerConnection> spare = std::move(it->second);
+  spares_.erase(it);
+  if (!success) return Destroy(std::move(spare));
+  spare->stream.Read();
+  ServerExchange* exchange = FindAwaitingRest(*spare);
+  if (exchange == nullptr) return idle_.Add(std::move(spare));
+  idle_.PutBack(std::exchange(exchange->connection, std::move(spare)));
+  exchange->connection->exchange = exchange;
+  exchange->awaiting_rest = false;
+  exchange->use.connection = exchange->connection->id;
+  SendRequest(*exchange);
+}
+
+ServerExchange* RealServers::FindAwaitingRest(const ServerConnection& spare) {
+  const auto it = std::find_if(exchanges_.begin(), exchanges_.end(), [&](const auto& entry) {
+    return entry.second->awaiting_rest && entry.second->connection->server == spare.server &&
+           std::memcmp(&entry.second->connection->address, &spare.address, sizeof spare.address) == 0;
+  });
+  return it == exchanges_.end() ? nullptr : it->second.get();
+}
+
+// Returns null without a socket, for example because descriptors ran out.
+std::unique_ptr<ServerConnection> RealServers::Connect(ServerId server, const Address& address) {
+  counters_.Add("connections_opened");
+  ++open_connections_;
+  auto connection = std::make_unique<ServerConnection>(loop_, *this, ++last_connection_, server, address);
+  connection->idle_since = Clock::now();
+  if (connection->stream.Connect(address)) return connection;
+  Destroy(std::move(connection));
+  return nullptr;
+}
+
+void RealServers::Reuse(ServerExchange& exchange) {
+  const ServerConnection& connection = *exchange.connection;
+  exchange.awaiting_rest = false;
+  exchange.use = {connection.id, true, Clock::now() - connection.idle_since, connection.responses,
+                  std::nullopt};
+  counters_.Add("connections_reused");
+  SendRequest(exchange);
+}
+
+// The connection that the exchange waited for has ended, or can't be trusted any more.
+void RealServers::Reassign(ServerExchange& exchange) {
+  const ServerId server = exchange.connection->server;
+  const Address address = exchange.connection->address;
+  Destroy(std::move(exchange.connection));
+  exchange.awaiting_rest = false;
+  Assign(exchange, server, address);
+}
+
+void RealServers::OpenConnection(ServerExchange& exchange, ServerId server, const Address& address) {
   if (open_connections_ >= limits_.max_connections && !CloseOldestIdle()) {
     counters_.Add("connections_no_room");
-    EndLater(id, Code::kNotSent);
-    return id;
+    return EndLater(exchange.id, Code::kNotSent);
   }
-  counters_.Add("connections_opened");
-  ++open_connections_;
-  exchange.connection = std::make_unique<ServerConnection>(loop_, *this, ++last_connection_, server, address);
-  exchange.connection->exchange = &exchange;
-  exchange.use.connection = exchange.connection->id;
-  exchange.connecting = true;
-  ArmTimer(exchange, exchange.started + limits_.connect_timeout);
-  // No socket, for example because descriptors ran out; the real server is not to blame.
-  if (!exchange.connection->stream.Connect(address)) {
+  exchange.connection = Connect(server, address);
+  if (exchange.connection == nullptr) {  // the real server is not to blame
     counters_.Add("connections_no_room");
     CloseOldestIdle();
-    EndLater(id, Code::kNotSent);
+    return EndLater(exchange.id, Code::kNotSent);
   }
-  return id;
+  exchange.connection->exchange = &exchange;
+  exchange.use.connection = exchange.connection->id;
+  exchange.connecting = true;
+  ArmTimer(exchange, Clock::now() + limits_.connect_timeout);
 }
 
 // Arms the timer for `limit`, but no later than the deadline of the exchange and its send_by time.
@@ -159,7 +224,7 @@
 
 bool RealServers::HasBufferSpace(ExchangeId id) const {
   const auto it = exchanges_.find(id);
-  if (it == exchanges_.end() || it->second->connecting) return false;
+  if (it == exchanges_.end() || it->second->connecting || it->second->awaiting_rest) return false;
   return it->second->connection->stream.unwritten() < streaming_limit_.window();
 }
 
@@ -193,6 +258,7 @@
 }
 
 void RealServers::OnConnected(ServerConnection& connection, bool success) {
+  if (connection.exchange == nullptr) return OnSpareConnected(connection, success);
   ServerExchange& exchange = *connection.exchange;
   exchange.connecting = false;
   connection.idle_since = Clock::now();
@@ -203,8 +269,7 @@
 
 void RealServers::OnData(ServerConnection& connection, std::string_view bytes) {
   ServerExchange* exchange = connection.exchange;
-  if (exchange == nullptr) {  // unsolicited data: the connection can't be trusted any more
-    idle_.OnExcessData();
+  if (exchange == nullptr || exchange->awaiting_rest) {  // the connection can't be trusted any more
     counters_.Add("answers_behind_answers");
     LogSurplusBytes(connection, bytes.size(), "idle");
     return OnEnd(connection);
@@ -216,7 +281,6 @@
   // Bytes after the response don't belong to it, and later data on this connection can't be trusted.
   if (parsed == ParseResult::kComplete && used < bytes.size()) {
     counters_.Add("answers_with_excess");
-    idle_.OnExcessData();
     connection.excess_data = true;
     LogSurplusBytes(connection, bytes.size() - used, "behind the response");
   }
@@ -313,6 +377,7 @@
 
 void RealServers::OnEnd(ServerConnection& connection) {
   if (ServerExchange* exchange = connection.exchange; exchange != nullptr) {
+    if (exchange->awaiting_rest) return Reassign(*exchange);
     // A response without a length ends when the server closes the connection cleanly.
     const bool complete_at_close = exchange->written && connection.stream.closed_cleanly() &&
                                    connection.parser.head_complete() &&
@@ -345,6 +410,10 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return;
   ServerExchange& exchange = *it->second;
+  if (exchange.awaiting_rest) {
+    const bool in_time = Clock::now() < std::min(exchange.deadline, exchange.send_by);
+    return in_time ? Reuse(exchange) : End(exchange, Code::kNotSent);
+  }
   if (Clock::now() >= exchange.send_by) {
     const bool held_back = !exchange.connecting && exchange.connection->stream.HasUnackedBytes();
     if (exchange.written && !held_back) {  // the server has received the request
@@ -377,7 +446,7 @@
   std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
   ended->timer.Stop();
-  if (ended->connection != nullptr) Destroy(std::move(ended->connection));
+  ReleaseConnection(*ended);
   const auto done = std::move(ended->events.on_done);
   const Span latency = ended->streams_response ? ended->latency : Clock::now() - ended->started;
   const ConnectionUse use = ended->use;
@@ -394,11 +463,18 @@
   ended->timer.Stop();
   ReleaseBufferSpace(*ended);
   const bool written = ended->written;
-  if (ended->connection != nullptr) Destroy(std::move(ended->connection));
+  ReleaseConnection(*ended);
   loop_.DestroyLater(std::move(ended));
   return written;
 }
 
+// Nothing was sent on a connection that still rests, so it stays.
+void RealServers::ReleaseConnection(ServerExchange& exchange) {
+  if (exchange.connection == nullptr) return;
+  if (exchange.awaiting_rest) return idle_.PutBack(std::move(exchange.connection));
+  Destroy(std::move(exchange.connection));
+}
+
 void RealServers::ReleaseBufferSpace(const ServerExchange& exchange) {
   if (exchange.streams_request) streaming_limit_.EndTransfer();
   if (exchange.streams_response) streaming_limit_.EndTransfer();
@@ -410,8 +486,26 @@
   }
 }
 
+void RealServers::CloseIdle(ServerId server) {
+  idle_.CloseAll(server);
+  if (auto spare = spares_.extract(server)) Destroy(std::move(spare.mapped()));
+}
+
+void RealServers::CloseExpired() {
+  idle_.CloseExpired();
+  std::vector<ServerId> late;
+  for (const auto& [server, spare] : spares_) {
+    if (Clock::now() - spare->idle_since >= kSpareConnectTimeout) late.push_back(server);
+  }
+  for (const ServerId server : late) Destroy(std::move(spares_.extract(server).mapped()));
+}
+
 bool RealServers::CloseOldestIdle() {
-  if (!idle_.CloseOldest()) return false;
+  if (!spares_.empty()) {
+    Destroy(std::move(spares_.extract(spares_.begin()).mapped()));
+  } else if (!idle_.CloseOldest()) {
+    return false;
+  }
   counters_.Add("connections_shed");
   return true;
 }
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -94,15 +94,24 @@
   // written, or nothing for an exchange that has already ended.
   std::optional<bool> Cancel(ExchangeId exchange);
   // Closes the idle connections to `server`.
-  void CloseIdle(ServerId server) { idle_.CloseAll(server); }
-  // Closes idle connections that are close to the idle timeout.
-  void CloseExpired() { idle_.CloseExpired(); }
+  void CloseIdle(ServerId server);
+  // Closes idle connections that are close to the idle timeout. Call it about once a second.
+  void CloseExpired();
   bool IsWritten(ExchangeId id) const;  // the last byte of the request is written
   // Sets the connection limit and closes idle connections above it.
   void SetMaxConnections(int max_connections);
   int open_connections() const { return open_connections_; }
 
  private:
+  void Assign(ServerExchange& exchange, ServerId server, const Address& address);
+  void Reassign(ServerExchange& exchange);
+  void OpenConnection(ServerExchange& exchange, ServerId server, const Address& address);
+  void Reuse(ServerExchange& exchange);
+  std::unique_ptr<ServerConnection> Connect(ServerId server, const Address& address);
+  void OpenSpare(ServerId server, const Address& address);
+  void OnSpareConnected(ServerConnection& connection, bool success);
+  ServerExchange* FindAwaitingRest(const ServerConnection& spare);
+  void ReleaseConnection(ServerExchange& exchange);
   void SendRequest(ServerExchange& exchange);
   void ArmTimer(ServerExchange& exchange, Time limit);
   void OnRequestWritten(ServerExchange& exchange);
@@ -132,6 +141,7 @@
   std::uint64_t last_connection_ = 0;
   std::unordered_map<ExchangeId, std::unique_ptr<ServerExchange>> exchanges_;
   IdleConnections idle_;
+  std::unordered_map<ServerId, std::unique_ptr<ServerConnection>> spares_;  // connecting, for no exchange yet
 };
 
 }  // namespace umberdyke::net
