Pass on nothing that a server sent before the request went out

Cause: OnConnected read and wrote without a look at what had come already; the timer that ends a rest runs before reads, too. Change: right before the request is written the connection must hold no unread bytes; else the exchange ends as not connected, nothing having been sent, and after a rest another connection is taken.

--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -179,6 +179,14 @@
   if (now < exchange.send_by)
     request = exchange.events.make_request(std::max<Span>(exchange.deadline - now, 0ms));
   if (!request) return EndLater(exchange.id, Code::kNotSent);
+  // What is there already can't be the response, and whatever follows can't be told from it.
+  if (!exchange.connection->stream.ReadWouldBlock()) {
+    if (!exchange.connection->stream.PeerClosed()) {
+      counters_.Add("answers_unasked");
+      LogSurplusBytes(*exchange.connection, 0, "before the request");
+    }
+    return EndLater(exchange.id, Code::kNotConnected);
+  }
   const Stream::WriteResult wrote = exchange.connection->stream.Write(std::move(*request));
   if (wrote == Stream::WriteResult::kFailed) {
     EndLater(exchange.id, Code::kNotConnected);
@@ -412,7 +420,9 @@
   ServerExchange& exchange = *it->second;
   if (exchange.awaiting_rest) {
     const bool in_time = Clock::now() < std::min(exchange.deadline, exchange.send_by);
-    return in_time ? Reuse(exchange) : End(exchange, Code::kNotSent);
+    if (!in_time) return End(exchange, Code::kNotSent);
+    // The loop runs timers before reads: bytes or a close may have come meanwhile.
+    return exchange.connection->stream.ReadWouldBlock() ? Reuse(exchange) : Reassign(exchange);
   }
   if (Clock::now() >= exchange.send_by) {
     const bool held_back = !exchange.connecting && exchange.connection->stream.HasUnackedBytes();
