Ask no missing connection for buffer space where a connect failed at once

Cause: since connections are opened by RealServers::Connect, an exchange whose connect fails at once (no descriptor) has no connection until it ends in the same turn of the loop; HasBufferSpace, asked meanwhile for a long request body, would have read it. An exchange that found no room had none before, either.

--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -232,8 +232,11 @@
 
 bool RealServers::HasBufferSpace(ExchangeId id) const {
   const auto it = exchanges_.find(id);
-  if (it == exchanges_.end() || it->second->connecting || it->second->awaiting_rest) return false;
-  return it->second->connection->stream.unwritten() < streaming_limit_.window();
+  if (it == exchanges_.end()) return false;
+  const ServerExchange& exchange = *it->second;
+  // Without a connection, the exchange is about to end as not sent.
+  if (exchange.connection == nullptr || exchange.connecting || exchange.awaiting_rest) return false;
+  return exchange.connection->stream.unwritten() < streaming_limit_.window();
 }
 
 bool RealServers::IsWritten(ExchangeId id) const {
