Make review case 2 denser and its check no stricter than the rule

One answer in twelve never ends and 20 requests a second come; a connection that closes without an answer is not counted, as its request may have been unread.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,4 +1,4 @@
-// Some answers arrive spoilt for a while: one in twenty has the head of an answer without a length, and then
+// Some answers arrive spoilt for a while: one in twelve has the head of an answer without a length, and then
 // never ends. Every request has to get its final answer, at the latest 0.5 s after its time.
 //
 // The sidecar serves the second tier. Its only client is an endpoint of the first tier, whose calls carry the
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr int kServers = 4;
-constexpr int kSpoiltEach = 20;  // of the answers in the time of the trouble
-constexpr double kTroubleFrom = 4, kTroubleTo = 16, kLastRequest = 20, kInterval = 0.08;
+constexpr int kSpoiltEach = 12;  // of the answers in the time of the trouble
+constexpr double kTroubleFrom = 4, kTroubleTo = 16, kLastRequest = 20, kInterval = 0.05;
 constexpr double kGrace =
     0.5;  // STANDING.md: up to half a second after its time a request only earns nothing
 
@@ -24,7 +24,7 @@
 
 void Ask(int port, int number, Totals* totals) {
   const std::string id = NextId();
-  const int timeout_ms = 800 + (number * 370) % 3101;  // what is left of the class's 4 s
+  const int timeout_ms = 500 + (number * 370) % 3401;  // what is left of the class's 4 s
   const std::string request =
       number % 2 == 0 ? LotStatus(id, timeout_ms) : Handover(id, timeout_ms, "lot 7 handed over");
   const int fd = ConnectTo(port);
@@ -39,7 +39,8 @@
   // Waits longer than it has to, to tell a late answer from none.
   const ReadEnd end = reader.Read(&answer, due + 6);
   const double took = Now() - sent;
-  const bool lost = end != ReadEnd::kMessage || Now() > due;
+  // A close without an answer may have left the request unread, which is excused, and is not counted.
+  const bool lost = end == ReadEnd::kTimeout || (end == ReadEnd::kMessage && Now() > due);
   close(fd);
   const std::string what = end == ReadEnd::kMessage ? std::to_string(answer.status()) : Name(end);
   Record("client: %s got %s after %.3f s%s", id.c_str(), what.c_str(), took,
