End an attempt whose response never begins its body at its deadline

Where ceilings.cancel is false, the process stopped for good.

Cause: RealServers held such a response, found nothing to stream and held it again, with a timer of 0 ms once the attempt's deadline was over; libuv runs due timers until none is left before it polls.

Change: what has arrived of a response is one state; it is held once, then waits for its body until the deadline and ends as timed out. answers_without_body_yet counts them. The process site of the order tests is a header now.

--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -21,10 +21,21 @@
 
 }  // namespace
 
+// What of an exchange's response has arrived, which decides how long the next part is waited for.
+enum class ResponseProgress {
+  kNone,         // nothing
+  kBuffered,     // a part, which is buffered until the response is complete
+  kHeld,         // the same, of a response without a length: buffered for kResponseHoldTime at most
+  kBodyAwaited,  // the head of a response without a length that was held in vain: its body will be streamed
+  kStreamed,     // the head and part of the body have been passed on
+};
+
 struct ServerExchange {
   ServerExchange(Loop& loop, ExchangeId i, const std::function<void(ExchangeId)>& on_timeout)
       : id(i), timer(loop, [on_timeout, i] { on_timeout(i); }) {}
 
+  bool streams_response() const { return response == ResponseProgress::kStreamed; }
+
   const ExchangeId id;
   ExchangeEvents events;
   ConnectionUse use;
@@ -35,15 +46,13 @@
   bool connecting = false;
   bool awaiting_rest = false;  // the connection still rests after its last response
   bool written = false;
-  bool response_started = false;       // part of the response has arrived
   bool streams_request = false;        // the request body is streamed
   bool request_body_complete = false;  // EndBody was called
-  bool streams_response = false;       // the response is streamed
   bool paused = false;                 // PauseResponse was called
-  bool holds_response = false;         // buffered for now; it may end before kResponseHoldTime
-  Span timeout{};                      // for the response to a streaming request; starts after the body
-  Span latency{};                      // of a streamed response
-  Message response_head;               // of a streamed response
+  ResponseProgress response = ResponseProgress::kNone;
+  Span timeout{};         // for the response to a streaming request; starts after the body
+  Span latency{};         // of a streamed response
+  Message response_head;  // of a streamed response
   std::unique_ptr<ServerConnection> connection;
   Timer timer;
 };
@@ -318,14 +327,14 @@
   if (std::exchange(exchange->send_by, Time::max()) != Time::max()) ArmTimer(*exchange, exchange->deadline);
   if (parsed != ParseResult::kIncomplete && parsed != ParseResult::kComplete) {
     counters_.Add("answers_malformed");
-    return End(*exchange, exchange->streams_response ? Code::kReset : Code::kMalformed);
+    return End(*exchange, exchange->streams_response() ? Code::kReset : Code::kMalformed);
   }
   const bool ready_to_stream = parsed == ParseResult::kComplete || !parser.message().body.empty();
-  if (parser.is_streaming() && ready_to_stream && !exchange->streams_response) {
+  if (parser.is_streaming() && ready_to_stream && !exchange->streams_response()) {
     if (parser.message().status != 200 || !exchange->events.on_response_head) {
       return End(*exchange, Code::kResponse, parser.TakeHead());  // the rest of the body is not read
     }
-    exchange->streams_response = true;
+    exchange->response = ResponseProgress::kStreamed;
     exchange->latency = Clock::now() - exchange->started;
     connection.stream.LimitUnsentBytes();
     streaming_limit_.BeginTransfer();
@@ -333,7 +342,7 @@
     exchange->events.on_response_head(exchange->response_head);
     if (connection.exchange != exchange) return;  // the callback cancelled the exchange
   }
-  if (exchange->streams_response) {
+  if (exchange->streams_response()) {
     if (std::string part = parser.TakeBodyPart(); !part.empty())
       exchange->events.on_response_body(std::move(part));
     if (connection.exchange != exchange) return;
@@ -344,21 +353,40 @@
 
 // Arms the timer for the next part of the response.
 void RealServers::ArmResponseTimer(ServerExchange& exchange) {
-  const HttpParser& parser = exchange.connection->parser;
-  if (exchange.streams_response) {
-    if (!exchange.paused) exchange.timer.Start(kStreamStallTimeout);
-    return;
+  const Time now = Clock::now();
+  switch (exchange.response) {
+    case ResponseProgress::kStreamed:
+      if (!exchange.paused) exchange.timer.Start(kStreamStallTimeout);
+      return;
+    case ResponseProgress::kHeld:         // further parts do not extend the hold time
+    case ResponseProgress::kBodyAwaited:  // nor the exchange's own time
+      return;
+    case ResponseProgress::kNone:
+    case ResponseProgress::kBuffered:
+      break;
   }
-  const Span left = exchange.deadline - Clock::now();
-  const bool length_known = !parser.head_complete() || parser.message().content_length.has_value();
-  // Further parts of a response of unknown length do not extend the hold time.
-  if (!length_known && parser.message().status == 200 && exchange.events.on_response_head) {
-    if (!std::exchange(exchange.holds_response, true))
-      exchange.timer.Start(std::clamp<Span>(left, 0ms, kResponseHoldTime));
-  } else {
-    exchange.timer.Start(std::clamp<Span>(left, 0ms, kResponseStallTimeout));
+  const bool holds = MayHoldResponse(exchange);
+  exchange.response = holds ? ResponseProgress::kHeld : ResponseProgress::kBuffered;
+  ArmTimer(exchange, now + (holds ? kResponseHoldTime : kResponseStallTimeout));
+}
+
+// A response without a length may end soon, or else can be streamed.
+bool RealServers::MayHoldResponse(const ServerExchange& exchange) const {
+  const HttpParser& parser = exchange.connection->parser;
+  const bool length_unknown = parser.head_complete() && !parser.message().content_length;
+  return length_unknown && parser.message().status == 200 && exchange.events.on_response_head;
+}
+
+// The response is not complete within its hold time: streams it. Without any of its body there is nothing to
+// pass on yet, and the time of the exchange goes on as if nothing had arrived.
+void RealServers::EndHold(ServerExchange& exchange) {
+  exchange.response = ResponseProgress::kBodyAwaited;
+  exchange.connection->parser.StartStreaming();
+  if (!exchange.connection->parser.message().body.empty()) {
+    return OnResponseProgress(*exchange.connection, ParseResult::kIncomplete);
   }
-  exchange.response_started = true;
+  counters_.Add("answers_without_body_yet");
+  ArmTimer(exchange, exchange.deadline);
 }
 
 void RealServers::LogSurplusBytes(const ServerConnection& connection, size_t bytes, std::string_view when) {
@@ -381,7 +409,7 @@
   ServerExchange& exchange = *connection.exchange;
   ++connection.responses;
   Message response = connection.parser.Take();
-  if (exchange.streams_response) response = std::move(exchange.response_head);
+  if (exchange.streams_response()) response = std::move(exchange.response_head);
   if (response.keep_alive && !connection.excess_data) idle_.Add(std::move(exchange.connection));
   End(exchange, Code::kResponse, std::move(response));
 }
@@ -437,16 +465,12 @@
     return End(exchange, exchange.written ? Code::kReset : Code::kNotSent);
   }
   if (exchange.connecting) counters_.Add("connect_timeouts");
-  if (exchange.streams_response) {
+  if (exchange.streams_response()) {
     counters_.Add("answers_stalled");
     return End(exchange, Code::kReset);
   }
-  if (exchange.holds_response) {  // not complete within kResponseHoldTime: stream it
-    exchange.holds_response = false;
-    exchange.connection->parser.StartStreaming();
-    return OnResponseProgress(*exchange.connection, ParseResult::kIncomplete);
-  }
-  if (exchange.response_started && Clock::now() < exchange.deadline) {
+  if (exchange.response == ResponseProgress::kHeld) return EndHold(exchange);
+  if (exchange.response == ResponseProgress::kBuffered && Clock::now() < exchange.deadline) {
     counters_.Add("answers_unfinished");
     return End(exchange, Code::kMalformed);
   }
@@ -461,7 +485,7 @@
   ended->timer.Stop();
   ReleaseConnection(*ended);
   const auto done = std::move(ended->events.on_done);
-  const Span latency = ended->streams_response ? ended->latency : Clock::now() - ended->started;
+  const Span latency = ended->streams_response() ? ended->latency : Clock::now() - ended->started;
   const ConnectionUse use = ended->use;
   ReleaseBufferSpace(*ended);
   loop_.DestroyLater(std::move(ended));
@@ -490,7 +514,7 @@
 
 void RealServers::ReleaseBufferSpace(const ServerExchange& exchange) {
   if (exchange.streams_request) streaming_limit_.EndTransfer();
-  if (exchange.streams_response) streaming_limit_.EndTransfer();
+  if (exchange.streams_response()) streaming_limit_.EndTransfer();
 }
 
 void RealServers::SetMaxConnections(int descriptors) {
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -119,6 +119,8 @@
   void FinishResponse(ServerConnection& connection);
   void EndLater(ExchangeId id, ExchangeResult::Code code);
   void ArmResponseTimer(ServerExchange& exchange);
+  bool MayHoldResponse(const ServerExchange& exchange) const;
+  void EndHold(ServerExchange& exchange);
   void ReleaseBufferSpace(const ServerExchange& exchange);
   void LogSurplusBytes(const ServerConnection& connection, size_t bytes, std::string_view when);
   void OnConnected(ServerConnection& connection, bool success) override;
--- a/tests/net/response_order_process_test.cpp
+++ b/tests/net/response_order_process_test.cpp
@@ -1,60 +1,13 @@
 // Tests that a real process never passes on bytes that its servers did not send in response to the request.
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
-#include <filesystem>
 
-#include "files/files.h"
-#include "lab/common/process.h"
-#include "net/site.h"
+#include "net/process_site.h"
 
 namespace umberdyke::net {
 namespace {
 
 constexpr Span kWork = 250ms;  // longer than any delay of a copy, so that copies come before true responses
 
-// One process in front of one server of this test, which answers each request with its id after kWork.
-struct ProcessSite {
-  explicit ProcessSite(const std::string& name)
-      : folder((std::filesystem::temp_directory_path() / ("umberdyke-" + name + std::to_string(getpid())))
-                   .string()),
-        listen_address(lab::OwnAddress() + ":18301") {
-    discovery.script = [](Party::Peer& peer) {
-      peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    };
-    const std::string known = ListText(1, true, {ServerLine("s0", server.address())});
-    std::string text = Replaced(ConfigText(discovery.address(), known), "127.0.0.1:0", listen_address);
-    std::filesystem::create_directories(folder);
-    REQUIRE(files::WriteFileAtomically(folder + "/n0.json", text).empty());
-    process = std::make_unique<lab::Process>(
-        std::vector<std::string>{UMBERDYKE_PROGRAM, "--config", folder + "/n0.json"}, folder + "/n0.log");
-    REQUIRE(loop.RunUntil([this] { return Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200; }, 10s));
-  }
-  ~ProcessSite() { std::filesystem::remove_all(folder); }
-
-  void After(Span delay, std::function<void()> task) {
-    timers.push_back(std::make_unique<Timer>(loop, std::move(task)));
-    timers.back()->Start(delay);
-  }
-  void Wait(Span time) {
-    loop.RunUntil([] { return false; }, time);
-  }
-  Message Ask(const std::string& request) {
-    Client client(loop, *ParseAddress(listen_address));
-    client.Send(request);
-    loop.RunUntil([&] { return !client.answers.empty() || client.ended || !client.stream.open(); }, 5s);
-    return client.answers.empty() ? Message() : client.answers.front();
-  }
-
-  const std::string folder;
-  Loop loop;
-  Party discovery{loop};
-  Party server{loop};
-  const std::string listen_address;
-  std::unique_ptr<lab::Process> process;
-  std::vector<std::unique_ptr<Timer>> timers;
-};
-
 struct LateCopy {
   Span copy_delay;    // from the response to its copy
   Span client_pause;  // from the response to the client's next request
