Poll for input between two firings of timers, however overdue they are

What was seen: one timer that starts itself again without delay, or two of 1 ms whose callbacks take 2 ms, kept the loop from reading any socket: 1,000 firings, where the test stops them, before one read.

Cause: libuv 1.44 runs timers until none is due on the loop's clock, and Timer::Start moved that clock on each time.

Change: the clock stands still while timers run, and a timer that one of them starts is due a millisecond after it at the earliest, counted from the real time. The clock is read again before each poll. EdgeConnection::OnTimeout, which puts itself off by 0 ms so that input is read first, now gets what it was written for.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -47,13 +47,21 @@
   return millis > 0 ? static_cast<std::uint64_t>(millis) : 0;
 }
 
+// The time since the loop last read its clock.
+Span ClockLag(const uv_loop_t* loop) {
+  return std::chrono::nanoseconds(uv_hrtime()) - std::chrono::milliseconds(uv_now(loop));
+}
+
 }  // namespace
 
 Loop::Loop() {
   if (uv_loop_init(&loop_) != 0) throw std::bad_alloc();
   uv_prepare_init(&loop_, &prepare_);
   prepare_.data = this;
-  uv_prepare_start(&prepare_, [](uv_prepare_t* p) { static_cast<Loop*>(p->data)->RunPosted(); });
+  uv_prepare_start(&prepare_, [](uv_prepare_t* p) {
+    static_cast<Loop*>(p->data)->RunPosted();
+    uv_update_time(p->loop);  // the time to poll for is counted from it
+  });
 }
 
 Loop::~Loop() {
@@ -114,7 +122,8 @@
   objects.swap(to_destroy_);
 }
 
-Timer::Timer(Loop& loop, std::function<void()> callback) : handle_(new Handle{{}, std::move(callback)}) {
+Timer::Timer(Loop& loop, std::function<void()> callback)
+    : handle_(new Handle{{}, loop, std::move(callback)}) {
   uv_timer_init(loop.raw(), &handle_->uv);
   handle_->uv.data = handle_;
 }
@@ -124,10 +133,25 @@
   CloseHandle(handle_);
 }
 
+// libuv runs timers until none is due on its clock, and only then polls. So the clock stands still while
+// timers run, and a timer that one of them starts is due at least one millisecond later.
 void Timer::Start(Span delay) {
-  uv_update_time(handle_->uv.loop);
-  uv_timer_start(
-      &handle_->uv, [](uv_timer_t* t) { static_cast<Handle*>(t->data)->callback(); }, CeilMillis(delay), 0);
+  uv_loop_t* loop = handle_->uv.loop;
+  if (handle_->loop.in_timer_callback_) {
+    const Span from_loop_time = std::max(delay, Span::zero()) + ClockLag(loop);
+    uv_timer_start(&handle_->uv, Fire, std::max<std::uint64_t>(CeilMillis(from_loop_time), 1), 0);
+  } else {
+    uv_update_time(loop);
+    uv_timer_start(&handle_->uv, Fire, CeilMillis(delay), 0);
+  }
+}
+
+void Timer::Fire(uv_timer_t* timer) {
+  auto* handle = static_cast<Handle*>(timer->data);
+  Loop& loop = handle->loop;  // the callback may destroy the timer
+  loop.in_timer_callback_ = true;
+  handle->callback();
+  loop.in_timer_callback_ = false;
 }
 
 void Timer::Stop() { uv_timer_stop(&handle_->uv); }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -66,9 +66,11 @@
   std::array<char, 16384>& read_buffer() { return read_buffer_; }
 
  private:
+  friend class Timer;
   void RunPosted();
 
   uv_loop_t loop_;
+  bool in_timer_callback_ = false;
   uv_prepare_t prepare_;
   struct Task {
     std::weak_ptr<void> guard;
@@ -79,7 +81,8 @@
   std::array<char, 16384> read_buffer_;  // for all streams: OnData uses the bytes before the next read
 };
 
-// A one-shot timer. Start on a running timer restarts it.
+// A one-shot timer. Start on a running timer restarts it. A timer that is started by a timer's callback fires
+// after the loop has polled for input and output at the earliest, so overdue timers can't hold those up.
 class Timer {
  public:
   Timer(Loop& loop, std::function<void()> callback);
@@ -93,8 +96,10 @@
  private:
   struct Handle {
     uv_timer_t uv;
+    Loop& loop;
     std::function<void()> callback;
   };
+  static void Fire(uv_timer_t* timer);
   Handle* handle_;
 };
 
