Limit the memory that clients' requests hold together, and the lines of a head

Cause: a head was limited by the bytes of its names and values, not by what a line costs (1 byte counted, 64 to 128 held); and nothing limited what all requests hold together.

Change: 256 lines a head. Each client connection counts what its requests hold; over a quarter of the memory the largest unfinished ones get 503 and a close, and pipelined input stays in the kernel.

--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -19,17 +19,54 @@
 constexpr Span kFirstRequestTimeout = 400ms;      // see first_request_overdue()
 constexpr Span kClosePollInterval = 40ms;         // to detect a close while reading is paused
 constexpr size_t kMaxPipelinedInput = 16 * 1024;  // buffered while a request is processed
+constexpr size_t kMaxIdleInputCapacity = 1024;    // kept for the next input
 
 }  // namespace
 
-EdgeConnection::EdgeConnection(Loop& loop, EdgeOwner& owner, StreamingBufferLimit& buffer_limit)
-    : loop_(loop), owner_(owner), buffer_limit_(buffer_limit), stream_(loop, this), timeout_(loop, [this] {
-        OnTimeout();
-      }) {
+EdgeConnection::EdgeConnection(Loop& loop, EdgeOwner& owner, StreamingBufferLimit& buffer_limit,
+                               MessageBufferLimit& request_limit)
+    : loop_(loop),
+      owner_(owner),
+      buffer_limit_(buffer_limit),
+      request_limit_(request_limit),
+      stream_(loop, this),
+      timeout_(loop, [this] { OnTimeout(); }) {
   parser_.StreamLongBodies();
 }
 
-EdgeConnection::~EdgeConnection() { EndTransfers(); }
+EdgeConnection::~EdgeConnection() {
+  Close();
+  EndTransfers();
+}
+
+void EdgeConnection::Close() {
+  timeout_.Stop();
+  stream_.Close();
+  UpdateHeldBytes();
+}
+
+// The owner may drop unfinished requests in turn, also the one of this connection.
+void EdgeConnection::UpdateHeldBytes() {
+  const size_t before = held_bytes_;
+  held_bytes_ = stream_.open() ? input_.capacity() + parser_.HeldBytes() + request_bytes_ : 0;
+  if (held_bytes_ == before) return;
+  request_limit_.Update(before, held_bytes_);
+  if (held_bytes_ > before && request_limit_.exceeded()) owner_.OnRequestBufferLimitExceeded();
+}
+
+void EdgeConnection::DropInput() {
+  parser_.Take();
+  input_ = std::string();
+  UpdateHeldBytes();
+}
+
+void EdgeConnection::DropUnfinishedRequest() {
+  body_unread_ = parser_.head_complete();
+  timeout_.Stop();
+  state_ = State::kAwaitingResponse;
+  close_after_response_ = true;
+  DropInput();
+}
 
 void EdgeConnection::EndTransfers() {
   if (std::exchange(request_streaming_, false)) buffer_limit_.EndTransfer();
@@ -53,15 +90,17 @@
   input_.append(bytes);
   if (state_ == State::kReading || state_ == State::kStreamingBody) {
     ParseInput();
-  } else if (input_.size() > kMaxPipelinedInput) {
+  } else if (input_.size() > kMaxPipelinedInput || request_limit_.exceeded()) {
+    input_paused_ = true;
     PauseReading();
   }
+  UpdateHeldBytes();
 }
 
 // While this holds, reading is paused. A close by the client would go unread too, and is polled for instead.
 bool EdgeConnection::InputBufferFull() const {
   if (state_ == State::kStreamingBody) return body_.size() >= buffer_limit_.window();
-  return state_ == State::kAwaitingResponse && input_.size() > kMaxPipelinedInput;
+  return state_ == State::kAwaitingResponse && input_paused_;
 }
 
 void EdgeConnection::PauseReading() {
@@ -77,6 +116,7 @@
   size_t consumed = 0;
   const ParseResult parsed = parser_.Feed(input_, &consumed);
   input_.erase(0, consumed);
+  if (input_.empty() && input_.capacity() > kMaxIdleInputCapacity) input_ = std::string();
   if (parsed == ParseResult::kIncomplete || parsed == ParseResult::kComplete) {
     if (state_ == State::kStreamingBody || parser_.is_streaming()) return ReceiveBody(parsed);
   }
@@ -98,7 +138,9 @@
   timeout_deferred_ = false;
   state_ = State::kAwaitingResponse;
   if (parsed == ParseResult::kComplete) {
-    owner_.OnRequest(*this, parser_.Take());
+    Message message = parser_.Take();
+    request_bytes_ = message.HeldBytes();
+    owner_.OnRequest(*this, std::move(message));
   } else {
     close_after_response_ = true;
     owner_.OnInvalidRequest(*this, parsed);
@@ -112,6 +154,7 @@
   Message head;
   if (first) {
     head = parser_.TakeHead();
+    request_bytes_ = head.HeldBytes();
     if (body_deadline_ < Clock::now()) body_deadline_ = Clock::now() + kBodyGrace;
     state_ = State::kStreamingBody;
     request_streaming_ = true;
@@ -233,14 +276,19 @@
   stream_.Read();
   has_responded_ = true;
   last_activity_ = Clock::now();
-  const bool unread_body = request_streaming_ && !body_received_;
+  const bool unread_body = body_unread_ || (request_streaming_ && !body_received_);
   EndTransfers();
-  response_ended_ = continue_sent_ = body_received_ = false;
-  body_.clear();
+  response_ended_ = continue_sent_ = body_received_ = input_paused_ = false;
+  body_ = std::string();
+  request_bytes_ = 0;
+  UpdateHeldBytes();
   if (close_after_response_) return Linger(unread_body ? kUnreadBodyLingerTimeout : kLingerTimeout);
   state_ = State::kReading;
   if (!input_.empty()) {
-    loop_.Post(alive_, [this] { ParseInput(); });
+    loop_.Post(alive_, [this] {
+      ParseInput();
+      UpdateHeldBytes();
+    });
   } else if (close_when_idle_ && stream_.ReadWouldBlock()) {
     Linger(kLingerTimeout);
   } else {
@@ -252,7 +300,7 @@
 // discarded, because a reset could make the client lose the last response.
 void EdgeConnection::Linger(Span timeout) {
   state_ = State::kLingering;
-  input_.clear();
+  DropInput();
   stream_.EndSending();
   timeout_.Start(timeout);
 }
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -9,6 +9,7 @@
 
 #include "http1/http.h"
 #include "loop/loop.h"
+#include "passing/message_buffer_limit.h"
 #include "passing/room.h"
 
 namespace umberdyke::net {
@@ -28,6 +29,8 @@
   virtual void OnInvalidRequest(EdgeConnection& edge, ParseResult error) = 0;
   // The request did not arrive in time. The owner must respond as above.
   virtual void OnRequestTimeout(EdgeConnection& edge) = 0;
+  // The connection holds more than before, and all together hold more than they may.
+  virtual void OnRequestBufferLimitExceeded() = 0;
   // A response is complete and the connection waits for the next request. May be closed inside this call.
   virtual void OnIdle() = 0;
   // The connection is finished or broken; the owner must release it.
@@ -39,7 +42,8 @@
 
 class EdgeConnection : public StreamCallbacks {
  public:
-  EdgeConnection(Loop& loop, EdgeOwner& owner, StreamingBufferLimit& buffer_limit);
+  EdgeConnection(Loop& loop, EdgeOwner& owner, StreamingBufferLimit& buffer_limit,
+                 MessageBufferLimit& request_limit);
   ~EdgeConnection();
 
   // Returns false if no connection could be accepted.
@@ -58,6 +62,15 @@
   bool body_received() const { return body_received_; }
   bool body_consumed() const { return body_received_ && body_.empty(); }
 
+  // The memory that its requests take: unfinished, pipelined, and complete ones until they are answered.
+  size_t held_bytes() const { return held_bytes_; }
+  // A request has begun to arrive, and nothing of it has been handed to the owner.
+  bool has_unfinished_request() const {
+    return state_ == State::kReading && parser_.message_started() && input_.empty();
+  }
+  // Drops the unfinished request. The owner must send one response, after which the connection closes.
+  void DropUnfinishedRequest();
+
   // Closes the connection between requests: now, or when all received requests are answered.
   void CloseWhenIdle();
   // Whether input beyond the current request has arrived.
@@ -65,10 +78,7 @@
   // Whether the client has disconnected, even if unread bytes precede its close. No other check is reliable.
   bool ClientGone() const { return !stream_.open() || stream_.PeerClosed(); }
   // Also stops the timer: after its deferred destruction begins, the loop may still run timers that are due.
-  void Close() {
-    timeout_.Stop();
-    stream_.Close();
-  }
+  void Close();
   bool idle() const { return state_ == State::kReading && !parser_.message_started() && input_.empty(); }
   // Closing such a connection costs the client no more than a reconnect.
   bool idle_after_response() const { return has_responded_ && idle(); }
@@ -87,6 +97,8 @@
   void OnEnd() override { owner_.OnClosed(*this); }
   void OnWritten(bool ok) override;
   void ParseInput();
+  void UpdateHeldBytes();
+  void DropInput();
   void ReceiveBody(ParseResult parsed);
   void ExtendBodyDeadline(size_t bytes);
   void SendContinue();
@@ -101,17 +113,22 @@
   Loop& loop_;
   EdgeOwner& owner_;
   StreamingBufferLimit& buffer_limit_;
+  MessageBufferLimit& request_limit_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   Stream stream_;
   HttpParser parser_{HttpParser::Kind::kRequest};
   State state_ = State::kReading;
-  std::string input_;  // not parsed yet
-  std::string body_;   // of a streaming request, until TakeBody
+  std::string input_;         // not parsed yet
+  std::string body_;          // of a streaming request, until TakeBody
+  size_t request_bytes_ = 0;  // of the complete request, until it is answered
+  size_t held_bytes_ = 0;     // as last counted in request_limit_
   bool body_received_ = false;
   bool request_streaming_ = false;   // counted as a transfer in buffer_limit_
   bool response_streaming_ = false;  // likewise
   bool response_ended_ = false;      // EndResponse was called
   bool continue_sent_ = false;
+  bool input_paused_ = false;  // enough pipelined input is buffered
+  bool body_unread_ = false;   // the client may still send the body of a dropped request
   Framing framing_;
   size_t last_unwritten_ = 0;          // at the last check for write progress
   bool close_after_response_ = false;  // after the current response
--- a/src/flow/take_in.cpp
+++ b/src/flow/take_in.cpp
@@ -37,4 +37,9 @@
   edge.SendResponse(Platform::BadRequestResponse({408, "the request took too long to come"}), false);
 }
 
+void RequestIntake::RespondToDroppedRequest(EdgeConnection& edge) const {
+  counters_.Add("requests_dropped");
+  edge.SendResponse(Platform::RejectionResponse(std::chrono::microseconds(0), false), false);
+}
+
 }  // namespace umberdyke::net
--- a/src/flow/take_in.h
+++ b/src/flow/take_in.h
@@ -25,6 +25,9 @@
   void RespondToInvalidRequest(EdgeConnection& edge, ParseResult error) const;
   // Responds with 408 to a request that did not arrive in time, then closes the connection.
   void RespondToSlowRequest(EdgeConnection& edge) const;
+  // Rejects a request that was dropped for the memory that all requests take, then closes the connection. It
+  // was never forwarded, so the client may retry.
+  void RespondToDroppedRequest(EdgeConnection& edge) const;
 
  private:
   const Platform& platform_;
--- a/src/http1/http.cpp
+++ b/src/http1/http.cpp
@@ -40,6 +40,12 @@
   return nullptr;
 }
 
+size_t Message::HeldBytes() const {
+  size_t bytes = target.capacity() + body.capacity() + headers.capacity() * sizeof(Header);
+  for (const Header& header : headers) bytes += header.name.capacity() + header.value.capacity();
+  return bytes;
+}
+
 bool IsHopByHopHeader(std::string_view name) {
   static constexpr std::array<std::string_view, 10> kHopByHop = {
       "Connection",          "Keep-Alive", "TE",     "Trailer",        "Transfer-Encoding",
@@ -66,8 +72,8 @@
   s.on_header_field = [](http_parser* p, const char* at, size_t n) {
     HttpParser& self = FromCallback(p);
     if (self.head_complete_) return self.AppendText(&self.trailers_, at, n);
-    if (self.in_value_ || self.message_.headers.empty()) self.message_.headers.emplace_back();
-    self.in_value_ = false;
+    const bool begins = self.in_value_ || self.message_.headers.empty();
+    if (begins && self.BeginHeader() != 0) return 1;
     return self.AppendText(&self.message_.headers.back().name, at, n);
   };
   s.on_header_value = [](http_parser* p, const char* at, size_t n) {
@@ -81,6 +87,16 @@
   return s;
 }
 
+int HttpParser::BeginHeader() {
+  if (message_.headers.size() >= kMaxHeaders) {
+    failure_ = ParseResult::kHeadTooLong;
+    return 1;
+  }
+  message_.headers.emplace_back();
+  in_value_ = false;
+  return 0;
+}
+
 int HttpParser::AppendText(std::string* into, const char* at, size_t length) {
   head_bytes_ += length;
   if (head_bytes_ > kMaxHeadBytes) {
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -18,6 +18,7 @@
 constexpr size_t kMaxBufferedBody = 64 * 1024;  // a longer body is streamed or rejected
 constexpr size_t kMaxStreamedBody = 48 * 1024 * 1024;
 constexpr size_t kMaxHeadBytes = 16 * 1024;
+constexpr size_t kMaxHeaders = 256;      // lines of a head
 constexpr int kMaxInterimResponses = 8;  // 1xx responses before the final response
 
 struct Header {
@@ -38,6 +39,8 @@
   std::optional<std::uint64_t> content_length;  // absent where the head has none
   // Returns the first value of a header, or null.
   const std::string* Find(std::string_view name) const;
+  // About how many bytes of memory it takes.
+  size_t HeldBytes() const;
 };
 
 // True for hop-by-hop headers and for headers that the Write functions set themselves.
@@ -71,11 +74,14 @@
   // Passes body bytes to `sink` as they arrive, without a size limit, instead of storing them in the message.
   void StreamBodyTo(std::function<void(std::string_view)> sink) { sink_ = std::move(sink); }
   bool head_complete() const { return head_complete_; }
+  // About how many bytes of memory the message takes so far.
+  size_t HeldBytes() const { return message_.HeldBytes() + trailers_.capacity(); }
   const Message& message() const { return message_; }
 
  private:
   static HttpParser& FromCallback(http_parser* parser) { return *static_cast<HttpParser*>(parser->data); }
   static http_parser_settings Callbacks();
+  int BeginHeader();
   int AppendText(std::string* into, const char* at, size_t length);
   int AppendBody(const char* at, size_t length);
   int OnHeadComplete();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <tuple>
 #include <vector>
 
 #include "sidecar/limits.h"
@@ -28,6 +27,8 @@
 constexpr Span kIdleSweepInterval = 100ms;
 constexpr Span kPendingAcceptRetryDelay = 5ms;  // at shutdown, while connections are in the accept queue
 constexpr Span kMinIdleTime = 300ms;
+// The parts of the memory that buffered requests and responses may hold.
+constexpr size_t kRequestMemoryDivisor = 4;
 
 }  // namespace
 
@@ -38,6 +39,7 @@
       platform_(config_),
       metrics_(config_.class_names, config_.console.has_value()),
       streaming_limit_(config_.memory),
+      request_limit_(config_.memory, kRequestMemoryDivisor),
       server_list_(counters_, [this](const ServerListEvent& c) { OnListChange(c); }),
       servers_(loop, RealServerLimits(config_), streaming_limit_, counters_, *log_),
       decisions_(loop, config_, counters_, *this),
@@ -165,6 +167,7 @@
   const bool shared = handover_->has_other_process();
   edge_limit_ = MaxEdgeConnections(config_, shared);
   streaming_limit_.SetShared(shared);
+  request_limit_.SetShared(shared);
   servers_.SetMaxConnections(edge_limit_);
   ShedEdgesDownTo(edge_limit_);
   log_->Say(Event::kTakenOver,
@@ -215,7 +218,7 @@
 
 void Sidecar::AcceptConnection() {
   if (static_cast<int>(edges_.size()) >= edge_limit_ && !ShedOldestEdge()) return PauseAccepting();
-  auto edge = std::make_unique<EdgeConnection>(loop_, *this, streaming_limit_);
+  auto edge = std::make_unique<EdgeConnection>(loop_, *this, streaming_limit_, request_limit_);
   if (std::exchange(accept_paused_, false)) listener_.Resume();
   if (!edge->Accept(listener_)) {  // no descriptor, or another process accepted it first
     if (!listener_.out_of_descriptors()) return;
@@ -235,27 +238,24 @@
   accept_timer_.Start(kAcceptRetryDelay);
 }
 
-// Closes the oldest idle connection. Lingering connections go first, then those that sent no request, which
-// protects regular clients from those that open hundreds of connections and send nothing.
 bool Sidecar::ShedOldestEdge() {
-  std::vector<EdgeConnection*> idle;
-  for (const auto& [edge, owned] : edges_) {
-    if (edge->idle_after_response() || edge->first_request_overdue() || edge->lingering())
-      idle.push_back(edge);
-  }
-  const auto rank = [](const EdgeConnection* e) {
-    return std::tuple(!e->lingering(), e->has_started_request(), e->last_activity());
-  };
-  std::sort(idle.begin(), idle.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
-  // Skip connections with unread input: it may be a request.
-  const auto oldest =
-      std::find_if(idle.begin(), idle.end(), [](const auto* e) { return e->NoUnreadInput(); });
-  if (oldest == idle.end()) return false;
+  EdgeConnection* oldest = OldestIdleEdge(edges_);
+  if (oldest == nullptr) return false;
   counters_.Add("edges_shed");
-  OnClosed(**oldest);
+  OnClosed(*oldest);
   return true;
 }
 
+// The largest requests go first: they are rarely those of regular clients.
+void Sidecar::OnRequestBufferLimitExceeded() {
+  while (request_limit_.exceeded()) {
+    EdgeConnection* edge = EdgeWithLargestUnfinishedRequest(edges_);
+    if (edge == nullptr) return;
+    edge->DropUnfinishedRequest();
+    request_intake_.RespondToDroppedRequest(*edge);
+  }
+}
+
 void Sidecar::OnRequest(EdgeConnection& edge, Message message) {
   AdmitRequest(edge, std::move(message), false);
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -4,7 +4,6 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_map>
 
 #include "config/config.h"
 #include "console/console.h"
@@ -25,8 +24,11 @@
 #include "membership/peer_exchange.h"
 #include "membership/server_list.h"
 #include "membership/source.h"
+#include "passing/message_buffer_limit.h"
+#include "passing/room.h"
 #include "platform/platform.h"
 #include "server/real_server.h"
+#include "sidecar/edge_shedding.h"
 #include "sidecar/life.h"
 #include "sidecar/zone_watch.h"
 
@@ -65,6 +67,7 @@
   void OnWritable(EdgeConnection& edge) override;
   void OnInvalidRequest(EdgeConnection& edge, ParseResult why) override;
   void OnRequestTimeout(EdgeConnection& edge) override;
+  void OnRequestBufferLimitExceeded() override;
   void OnIdle() override;
   void OnClosed(EdgeConnection& edge) override;
 
@@ -124,6 +127,7 @@
   const Platform platform_;
   FlowMetrics metrics_;
   StreamingBufferLimit streaming_limit_;
+  MessageBufferLimit request_limit_;
   FlowTable flows_;
   ServerList server_list_;
   std::unique_ptr<MemberSource> source_;
@@ -142,7 +146,7 @@
   std::unique_ptr<Handover> handover_;
   std::optional<int> inherited_listener_;  // the predecessor's listening socket, until serving starts
   int edge_limit_;
-  std::unordered_map<EdgeConnection*, std::unique_ptr<EdgeConnection>> edges_;
+  EdgeConnections edges_;
   int discovery_failures_ = 0;  // consecutive
   // Pushed lists apply from the start, so nothing is served before the first one.
   bool awaiting_pushed_list_ = false;
--- a/tests/net/parser_test.cpp
+++ b/tests/net/parser_test.cpp
@@ -56,6 +56,24 @@
   }
 }
 
+// Fails if short lines, which cost many times their bytes in memory, are only limited by their bytes.
+TEST_CASE("a head of too many lines is too long", "[http]") {
+  const auto parse = [](HttpParser::Kind kind, const std::string& start, size_t lines) {
+    std::string text = start;
+    for (size_t i = 0; i < lines; ++i) text += "a:\r\n";
+    HttpParser parser(kind);
+    size_t used = 0;
+    const ParseResult parsed = parser.Feed(text, &used);
+    CHECK(parser.HeldBytes() < 64 * 1024);
+    return parsed;
+  };
+  for (const auto& [kind, start] : {std::pair(HttpParser::Kind::kRequest, "GET /api HTTP/1.1\r\n"),
+                                    std::pair(HttpParser::Kind::kResponse, "HTTP/1.1 200 OK\r\n")}) {
+    CHECK(parse(kind, start, kMaxHeaders) == ParseResult::kIncomplete);
+    CHECK(parse(kind, start, kMaxHeaders + 1) == ParseResult::kHeadTooLong);
+  }
+}
+
 // Request smuggling: with an ambiguous body length, a second request could hide in the body of the first.
 TEST_CASE("a request with an ambiguous body length is malformed", "[http]") {
   const std::vector<std::string> heads = {
--- /dev/null
+++ b/tests/net/request_memory_process_test.cpp
@@ -0,0 +1,100 @@
+// Tests that what clients send and never finish keeps a real process within its memory limit.
+#include <catch2/catch.hpp>
+
+#include "net/process_site.h"
+
+namespace umberdyke::net {
+namespace {
+
+// The memory of a process with an address sanitizer is mostly the sanitizer's.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMeasuresMemory = false;
+#else
+constexpr bool kMeasuresMemory = true;
+#endif
+
+constexpr int kDescriptors = 1024;
+constexpr Span kEndOfBadClients = 3s;  // a bad client gets an error or a close within this time
+constexpr Span kServerWork = 50ms;
+
+std::string PostHead(int number, size_t length) {
+  return "POST /api HTTP/1.1\r\nHost: s\r\nX-Request-ID: bad" + std::to_string(number) +
+         "\r\nX-Priority-Class: look\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: 4000\r\nContent-Length: " +
+         std::to_string(length) + "\r\n\r\n";
+}
+
+std::string Lines(const std::string& line, size_t count) {
+  std::string lines;
+  for (size_t i = 0; i < count; ++i) lines += line;
+  return lines;
+}
+
+struct UnfinishedRequests {
+  std::string name;
+  int memory_mb;
+  int clients;
+  std::function<std::string(int number)> begin;  // what each client sends
+};
+
+std::vector<UnfinishedRequests> AllUnfinishedRequests() {
+  const std::string get = "GET /api HTTP/1.1\r\n";
+  return {
+      {"heads of empty lines", 64, 120, [=](int) { return get + Lines("a:\r\n", 16000); }},
+      {"heads of empty lines, smallest limit", 32, 400, [=](int) { return get + Lines("a:\r\n", 16000); }},
+      {"heads of short lines below every limit", 32, 440,
+       [=](int) { return get + Lines("abc: d\r\n", 250); }},
+      {"heads of long lines below every limit", 32, 440,
+       [=](int) { return get + Lines("x-padding: " + std::string(60, 'p') + "\r\n", 200); }},
+      {"half-written bodies", 32, 440,
+       [](int number) { return PostHead(number, 64'000) + std::string(60'000, 'b'); }},
+      {"half-written bodies in chunks", 32, 440,
+       [](int number) {
+         std::string head = PostHead(number, 1);
+         head = Replaced(head, "Content-Length: 1", "Transfer-Encoding: chunked");
+         return head + Lines("3e8\r\n" + std::string(1000, 'b') + "\r\n", 60);
+       }},
+      {"half-written bodies that are streamed", 32, 440,
+       [](int number) { return PostHead(number, 1'000'000) + std::string(100'000, 'b'); }},
+      {"input behind a request in flight", 32, 440,
+       [](int number) { return Look("4000", "first" + std::to_string(number)) + std::string(40'000, '\n'); }},
+  };
+}
+
+// Fails if heads of many short lines, or half-written bodies of many clients, take the process over its
+// memory limit, for which it would be killed with all requests that it has.
+TEST_CASE("unfinished requests of many clients keep a process within its memory limit", "[memory]") {
+  const auto cases = AllUnfinishedRequests();
+  const UnfinishedRequests& bad = cases[GENERATE(range(size_t{0}, AllUnfinishedRequests().size()))];
+  CAPTURE(bad.name);
+  ProcessSite site("request-memory", [&](std::string* config) {
+    *config = Replaced(
+        *config, "\"sockets\":" + std::to_string(kDescriptors),
+        "\"memory_mb\":" + std::to_string(bad.memory_mb) + ",\"sockets\":" + std::to_string(kDescriptors));
+  });
+  site.server.script = [&](Party::Peer& peer) {
+    site.After(kServerWork, [&peer, id = *peer.last.Find("X-Request-ID")] { peer.Answer(200, id); });
+  };
+  std::vector<std::unique_ptr<Client>> clients;
+  const Time start = Clock::now();
+  for (int i = 0; i < bad.clients; ++i) {
+    clients.push_back(std::make_unique<Client>(site.loop, *ParseAddress(site.listen_address)));
+    clients.back()->Send(bad.begin(i));
+    if (i % 20 == 0) site.Wait(2ms);
+  }
+  int regular = 0;
+  const auto has_end = [](const std::unique_ptr<Client>& client) {
+    return !client->answers.empty() || client->ended || !client->stream.open();
+  };
+  while (Clock::now() - start < kEndOfBadClients) {
+    const std::string id = "regular" + std::to_string(regular++);
+    const Message answer = site.Ask(Look("1000", id));
+    CHECK(Settled(answer.status));
+    site.Wait(100ms);
+  }
+  CHECK(std::all_of(clients.begin(), clients.end(), has_end));
+  if (kMeasuresMemory) CHECK(site.process->PeakMb() * 1e6 < bad.memory_mb * 1024.0 * 1024.0);
+  CHECK_FALSE(site.process->Ended().has_value());
+}
+
+}  // namespace
+}  // namespace umberdyke::net
