Pass on the response of one attempt alone where two are in flight

Cause: the sidecar took the head, data and end of any attempt of a flow, and paused the latest one for a client that lags. The decision module cancelled no other attempt and credited the latest one's server.

Change: the first head sets Flow::passed_on; other attempts' heads and data cancel those, their ends are recorded and nothing more. OnStreamStart uses the attempt that it is given and cancels the others where they may be.

--- a/include/umberdyke/balancer.h
+++ b/include/umberdyke/balancer.h
@@ -191,8 +191,8 @@
   void OnRequest(Micros now, const Request& request, Actions* out);
   // This and the calls below ignore unknown requests, attempts, upstreams and timers.
   void OnAttemptEnd(Micros now, const AttemptEnd& end, Actions* out);
-  // A streaming response has begun to reach the client. Its attempt may end much later; the request is not
-  // sent again.
+  // The streaming response of `attempt` has begun to reach the client. The attempt may end much later; the
+  // request is not sent again, and its other attempts are cancelled where they may be.
   void OnStreamStart(Micros now, RequestId request, int attempt, Actions* out);
   // The request has a streaming body. Without `time_left`, a part of it was sent: the request cannot be sent
   // again, and no timeout applies. With `time_left`, the whole body was sent, and the request is timed from
--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -218,14 +218,17 @@
     }
   }
 
-  void OnStreamStart(RequestId id) {
+  void OnStreamStart(RequestId id, int attempt) {
     const auto it = active_requests_.find(id);
-    if (it == active_requests_.end() || it->second.attempts.empty()) return;
+    if (it == active_requests_.end()) return;
+    const Attempt* streaming = FindOpenAttempt(it->second, attempt);
+    if (streaming == nullptr) return;
     it->second.response_streaming = true;
     it->second.response_started_at = now_;
     ExcludeFromLimit(it->second);
-    Upstream& up = upstreams_[it->second.attempts.back().upstream];
+    Upstream& up = upstreams_[streaming->upstream];
     up.last_response_or_trial = up.last_response = now_;
+    CancelOthers(id, it->second, attempt);
   }
 
   void OnBody(RequestId id, std::optional<Micros> time_left) {
@@ -841,13 +844,20 @@
     }
   }
 
+  // Cancels the open attempts other than `kept`.
+  void CancelOthers(RequestId id, ActiveRequest& active, int kept) {
+    if (!settings_.may_cancel) return;
+    for (int i = 0; i < static_cast<int>(active.attempts.size()); ++i) {
+      Attempt& a = active.attempts[static_cast<size_t>(i)];
+      if (i == kept || !a.open || std::exchange(a.cancel_requested, true)) continue;
+      out_->push_back(Cancel{id, i});
+    }
+  }
+
   // Ends an admitted request and records how long it took. A request without a response can only raise the
   // mean. One that was rejected or found no upstream counts as too late.
   void EndRequest(RequestId id, ActiveRequest& active, bool served) {
-    for (size_t i = 0; settings_.may_cancel && i < active.attempts.size(); ++i) {
-      const Attempt& a = active.attempts[i];
-      if (a.open && !a.cancel_requested) out_->push_back(Cancel{id, static_cast<int>(i)});
-    }
+    CancelOthers(id, active, kNoAttempt);
     in_flight_ -= active.excluded_from_limit ? 0 : 1;
     std::erase(probing_requests_, id);
     if (active.body_streaming) return;
@@ -1214,8 +1224,8 @@
   impl_->BeginEvent(now, out).OnAttemptEnd(e);
 }
 
-void Balancer::OnStreamStart(Micros now, RequestId request, int /*attempt*/, Actions* out) {
-  impl_->BeginEvent(now, out).OnStreamStart(request);
+void Balancer::OnStreamStart(Micros now, RequestId request, int attempt, Actions* out) {
+  impl_->BeginEvent(now, out).OnStreamStart(request, attempt);
 }
 
 void Balancer::OnBody(Micros now, RequestId request, std::optional<Micros> time_left, Actions* out) {
--- a/src/decide/state.h
+++ b/src/decide/state.h
@@ -13,6 +13,7 @@
 namespace umberdyke {
 
 constexpr int kNoUpstream = -1;  // index that stands for "none"
+constexpr int kNoAttempt = -1;   // likewise
 
 struct Upstream {
   UpstreamEntry entry;
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -31,13 +32,13 @@
   Time deadline{};   // when the client gives up
   int attempts = 0;  // started so far
   int attempts_in_flight = 0;
-  bool may_have_run = false;        // an ended attempt may have executed the request
-  bool receiving_body = false;      // the streaming body has not fully arrived
-  bool body_partly_sent = false;    // part of the body was forwarded: the request can't be resent
-  bool body_sent = false;           // all of the body was forwarded
-  Span attempt_timeout{};           // of the current attempt, from the request's last byte on
-  bool streaming_response = false;  // a streaming response has begun to reach the client
-  int unfit_status = 0;             // status of a real server that found the request invalid; 0: none
+  bool may_have_run = false;      // an ended attempt may have executed the request
+  bool receiving_body = false;    // the streaming body has not fully arrived
+  bool body_partly_sent = false;  // part of the body was forwarded: the request can't be resent
+  bool body_sent = false;         // all of the body was forwarded
+  Span attempt_timeout{};         // of the current attempt, from the request's last byte on
+  std::optional<int> passed_on;   // the attempt whose streaming response has begun to reach the client
+  int unfit_status = 0;           // status of a real server that found the request invalid; 0: none
   std::unique_ptr<Timer> deadline_timer;
 };
 
--- a/src/flow/relay.h
+++ b/src/flow/relay.h
@@ -17,8 +17,8 @@
       : platform_(platform), settings_(settings), counters_(counters) {}
 
   FlowEnd SendServed(Flow& flow, const Message& response, bool draining) const;
-  // Streaming responses: head, data, then FinishStreaming or AbortStreaming. BeginStreaming and StreamData
-  // return false if the client lags and the upstream must be paused.
+  // Streaming responses, of flow.passed_on: head, data, then FinishStreaming or AbortStreaming.
+  // BeginStreaming and StreamData return false if the client lags and the upstream must be paused.
   bool BeginStreaming(Flow& flow, const Message& head, bool draining) const;
   bool StreamData(Flow& flow, std::string data) const { return flow.edge->SendResponseData(std::move(data)); }
   FlowEnd FinishStreaming(Flow& flow) const;
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -47,13 +47,17 @@
   if (streams_body) streaming_.on_body_sent(flow);
 }
 
-const AttemptSender::Attempt* AttemptSender::LatestAttempt(const Flow& flow) const {
-  const auto it = attempts_.find({flow.id, flow.attempts - 1});
+const AttemptSender::Attempt* AttemptSender::Find(FlowId flow, int attempt) const {
+  const auto it = attempts_.find({flow, attempt});
   return it == attempts_.end() ? nullptr : &it->second;
 }
 
+const AttemptSender::Attempt* AttemptSender::PassedOnAttempt(const Flow& flow) const {
+  return flow.passed_on ? Find(flow.id, *flow.passed_on) : nullptr;
+}
+
 void AttemptSender::ForwardBody(Flow& flow) {
-  const Attempt* attempt = LatestAttempt(flow);
+  const Attempt* attempt = Find(flow.id, flow.attempts - 1);  // a streaming body goes to the latest attempt
   if (attempt == nullptr || flow.body_sent || !servers_.HasBufferSpace(attempt->exchange)) return;
   const Framing framing = Platform::FramingOf(flow.request.message, true);
   if (std::string data = flow.edge->TakeBody(); !data.empty()) {
@@ -67,13 +71,13 @@
 }
 
 void AttemptSender::PauseResponse(const Flow& flow) {
-  if (const Attempt* attempt = LatestAttempt(flow); attempt != nullptr) {
+  if (const Attempt* attempt = PassedOnAttempt(flow); attempt != nullptr) {
     servers_.PauseResponse(attempt->exchange);
   }
 }
 
 void AttemptSender::ResumeResponse(const Flow& flow) {
-  if (const Attempt* attempt = LatestAttempt(flow); attempt != nullptr) {
+  if (const Attempt* attempt = PassedOnAttempt(flow); attempt != nullptr) {
     servers_.ResumeResponse(attempt->exchange);
   }
 }
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -53,7 +53,7 @@
   void operator()(Flow& flow, int attempt, const AttemptRoute& route);
   // Forwards what has arrived of a streaming body, if the attempt's connection can take more.
   void ForwardBody(Flow& flow);
-  // Backpressure: stops or resumes reading a streaming response while the client lags.
+  // Backpressure: stops or resumes reading the response that is passed on while the client lags.
   void PauseResponse(const Flow& flow);
   void ResumeResponse(const Flow& flow);
   // Ends the attempt at once; does nothing if it has already ended.
@@ -69,7 +69,8 @@
     ServerId server;
     Time sent;
   };
-  const Attempt* LatestAttempt(const Flow& flow) const;
+  const Attempt* Find(FlowId flow, int attempt) const;
+  const Attempt* PassedOnAttempt(const Flow& flow) const;
   void OnRequestSent(FlowId flow, bool streams_body);
   RealServers& servers_;
   const AttemptRouter& router_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -358,25 +358,32 @@
   ReportConnectionResult(result.server, result.outcome);
   if (zone_watch_) zone_watch_->OnAttemptEnd(result.server, result.outcome, result.elapsed);
   flow_recorder_.RecordAttemptEnd(flow, result);
-  if (flow != nullptr && result.outcome == Outcome::kUnfit) flow->unfit_status = result.response.status;
-  const bool served = flow != nullptr && result.outcome == Outcome::kOk;
-  const bool streaming = flow != nullptr && flow->streaming_response;
-  if (streaming) {
-    const FlowEnd end =
-        served ? response_writer_.FinishStreaming(*flow) : response_writer_.AbortStreaming(*flow);
-    flow_recorder_.CloseFlow(result.flow, end,
-                             served ? FlowEndCause::kResponse : FlowEndCause::kResponseBroke);
-  } else if (served) {
-    flow_recorder_.CloseFlow(result.flow,
-                             response_writer_.SendServed(*flow, result.response, ClosesAfterResponse(*flow)),
-                             FlowEndCause::kResponse);
+  // The client has begun to get another attempt's response, and nothing of this one.
+  const bool superseded = flow != nullptr && flow->passed_on && flow->passed_on != result.attempt;
+  const bool settles = flow != nullptr && !superseded && RespondWith(*flow, result);
+  flow_recorder_.ReportAttempt(result, settles || flow == nullptr);
+}
+
+// Ends the flow if the attempt's response was passed on or can be sent; returns whether it did.
+bool Sidecar::RespondWith(Flow& flow, const AttemptResult& result) {
+  const bool ok = result.outcome == Outcome::kOk;
+  if (flow.passed_on) {
+    const FlowEnd end = ok ? response_writer_.FinishStreaming(flow) : response_writer_.AbortStreaming(flow);
+    flow_recorder_.CloseFlow(result.flow, end, ok ? FlowEndCause::kResponse : FlowEndCause::kResponseBroke);
+    return true;
   }
-  flow_recorder_.ReportAttempt(result, served || streaming || flow == nullptr);
+  if (result.outcome == Outcome::kUnfit) flow.unfit_status = result.response.status;
+  if (!ok) return false;
+  const FlowEnd end = response_writer_.SendServed(flow, result.response, ClosesAfterResponse(flow));
+  flow_recorder_.CloseFlow(result.flow, end, FlowEndCause::kResponse);
+  return true;
 }
 
+// The first attempt whose response begins is passed on; the others are of no use any more.
 void Sidecar::OnResponseHead(FlowId id, int attempt, const Message& head) {
   Flow* flow = flows_.Find(id);
-  if (flow == nullptr) return attempt_sender_.Cancel(id, attempt);
+  if (flow == nullptr || flow->passed_on) return attempt_sender_.Cancel(id, attempt);
+  flow->passed_on = attempt;
   decisions_.OnResponseStart(id, attempt);
   if (!response_writer_.BeginStreaming(*flow, head, ClosesAfterResponse(*flow)))
     attempt_sender_.PauseResponse(*flow);
@@ -384,7 +391,7 @@
 
 void Sidecar::OnResponseData(FlowId id, int attempt, std::string piece) {
   Flow* flow = flows_.Find(id);
-  if (flow == nullptr) return attempt_sender_.Cancel(id, attempt);
+  if (flow == nullptr || flow->passed_on != attempt) return attempt_sender_.Cancel(id, attempt);
   if (!response_writer_.StreamData(*flow, std::move(piece))) attempt_sender_.PauseResponse(*flow);
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -93,6 +93,7 @@
   void OnResponseHead(FlowId flow, int attempt, const Message& head);
   void OnResponseData(FlowId flow, int attempt, std::string piece);
   void OnAttemptEnd(AttemptResult result);
+  bool RespondWith(Flow& flow, const AttemptResult& result);
   void ReportConnectionResult(ServerId server, Outcome outcome);
   void OnFinalDeadline(FlowId flow);
   void Tick();
