End the attempt that a client was getting when that client leaves

What was seen: where ceilings.cancel is false, a client that lags and leaves left its attempt behind, paused, with its connection to the server and no timer: for good.

Cause: the decision module may not cancel there, and nothing else ends an attempt whose reading is paused.

Change: the sidecar cancels the attempt that is passed on when its client has gone, as it does with one whose data comes later.

Evidence: the new test failed before with cancel false (the server's connection stayed open) and passes now.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -303,11 +303,14 @@
 }
 
 void Sidecar::AbandonFlow(EdgeConnection& edge, FlowEnd ending, FlowEndCause cause) {
-  const FlowId flow = std::exchange(edge.flow, 0);
-  if (flow == 0) return;
-  flow_recorder_.CloseFlow(flow, ending, cause);
-  attempt_sender_.CancelUnsent(flow);
-  decisions_.OnClientGone(flow);
+  const FlowId id = std::exchange(edge.flow, 0);
+  if (id == 0) return;
+  const Flow* flow = flows_.Find(id);
+  const std::optional<int> passed_on = flow == nullptr ? std::nullopt : flow->passed_on;
+  flow_recorder_.CloseFlow(id, ending, cause);
+  attempt_sender_.CancelUnsent(id);
+  if (passed_on) attempt_sender_.Cancel(id, *passed_on);  // it may be paused, and nobody would resume it
+  decisions_.OnClientGone(id);
 }
 
 // Called right before any part of an attempt is sent.
--- a/tests/passing/parallel_responses_test.cpp
+++ b/tests/passing/parallel_responses_test.cpp
@@ -147,6 +147,20 @@
   CHECK(site.loop.RunUntil([&] { return other.ended; }, 500ms));
 }
 
+// Fails if a paused attempt, whose client has gone, is left behind where the decision module may not cancel.
+TEST_CASE("the attempt of a client that lags and leaves ends with it", "[parallel]") {
+  const bool may_cancel = GENERATE(true, false);
+  CAPTURE(may_cancel);
+  ParallelSite site(may_cancel);
+  site.first->Reply(ResponseHead(16'000'000) + std::string(kPiece, 'w'));
+  REQUIRE(site.Until([&] { return !site.client.body.empty(); }));
+  site.client.stream.Pause();
+  site.first->Reply(std::string(16'000'000 - kPiece, 'w'));
+  site.Wait(400ms);
+  site.client.stream.Close();
+  CHECK(site.loop.RunUntil([&] { return site.first->ended; }, 500ms));
+}
+
 // Fails if a client that lags pauses the attempt that is not passed on: the other one's data would pile up.
 TEST_CASE("a client that lags slows the attempt whose response it gets", "[parallel]") {
   constexpr size_t kLong = 16'000'000;
