--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstring>
 
+#include "server/server_exchange.h"
+
 namespace umberdyke::net {
 
 using Code = ExchangeResult::Code;
@@ -10,56 +12,11 @@
 
 namespace {
 
-// A buffered response with a longer gap between its parts is malformed.
-constexpr Span kResponseStallTimeout = 250ms;
-// How long a response of unknown length is buffered, waiting for its end, before it is streamed.
-constexpr Span kResponseHoldTime = 100ms;
 // A spare connection that is not established by then is given up. Slow networks need over a second.
 constexpr Span kSpareConnectTimeout = 2s;
-// Limit without progress for a streaming body, in either direction.
-constexpr Span kStreamStallTimeout = 10s;
-// Where buffered responses hold too much memory, one with at least so much of its body is streamed.
-constexpr size_t kMinBodyStreamedEarly = 4 * 1024;
 
 }  // namespace
 
-// What of an exchange's response has arrived, which decides how long the next part is waited for.
-enum class ResponseProgress {
-  kNone,         // nothing
-  kBuffered,     // a part, which is buffered until the response is complete
-  kHeld,         // the same, of a response without a length: buffered for kResponseHoldTime at most
-  kBodyAwaited,  // the head of a response without a length that was held in vain: its body will be streamed
-  kStreamed,     // the head and part of the body have been passed on
-};
-
-struct ServerExchange {
-  ServerExchange(Loop& loop, ExchangeId i, const std::function<void(ExchangeId)>& on_timeout)
-      : id(i), timer(loop, [on_timeout, i] { on_timeout(i); }) {}
-
-  bool streams_response() const { return response == ResponseProgress::kStreamed; }
-
-  const ExchangeId id;
-  ExchangeEvents events;
-  ConnectionUse use;
-  Time started{};
-  Time written_at{};
-  Time deadline{};
-  Time send_by = Time::max();
-  bool connecting = false;
-  bool awaiting_rest = false;  // the connection still rests after its last response
-  bool written = false;
-  bool streams_request = false;        // the request body is streamed
-  bool request_body_complete = false;  // EndBody was called
-  bool paused = false;                 // PauseResponse was called
-  ResponseProgress response = ResponseProgress::kNone;
-  size_t buffered_bytes = 0;  // of the response, as last counted in the response limit
-  Span timeout{};             // for the response to a streaming request; starts after the body
-  Span latency{};             // of a streamed response
-  Message response_head;      // of a streamed response
-  std::unique_ptr<ServerConnection> connection;
-  Timer timer;
-};
-
 RealServers::RealServers(Loop& loop, const Limits& limits, StreamingBufferLimit& streaming_limit,
                          MessageBufferLimit& response_limit, Counters& counters, log::Log& log)
     : loop_(loop),
@@ -265,22 +222,6 @@
   if (it->second->connection->stream.unwritten() == 0) OnRequestWritten(*it->second);
 }
 
-void RealServers::PauseResponse(ExchangeId id) {
-  const auto it = exchanges_.find(id);
-  if (it == exchanges_.end() || it->second->paused) return;
-  it->second->paused = true;
-  it->second->timer.Stop();  // the reader of the response has its own deadline
-  it->second->connection->stream.Pause();
-}
-
-void RealServers::ResumeResponse(ExchangeId id) {
-  const auto it = exchanges_.find(id);
-  if (it == exchanges_.end() || !it->second->paused) return;
-  it->second->paused = false;
-  ArmResponseTimer(*it->second);
-  it->second->connection->stream.Read();
-}
-
 void RealServers::OnConnected(ServerConnection& connection, bool success) {
   if (connection.exchange == nullptr) return OnSpareConnected(connection, success);
   ServerExchange& exchange = *connection.exchange;
@@ -291,138 +232,6 @@
   SendRequest(exchange);
 }
 
-void RealServers::OnData(ServerConnection& connection, std::string_view bytes) {
-  ServerExchange* exchange = connection.exchange;
-  if (exchange == nullptr || exchange->awaiting_rest) {  // the connection can't be trusted any more
-    counters_.Add("answers_behind_answers");
-    LogSurplusBytes(connection, bytes.size(), "idle");
-    return OnEnd(connection);
-  }
-  if (exchange->written && !exchange->use.first_byte)
-    exchange->use.first_byte = Clock::now() - exchange->written_at;
-  size_t used = 0;
-  const ParseResult parsed = connection.parser.Feed(bytes, &used);
-  // Bytes after the response don't belong to it, and later data on this connection can't be trusted.
-  if (parsed == ParseResult::kComplete && used < bytes.size()) {
-    counters_.Add("answers_with_excess");
-    connection.excess_data = true;
-    LogSurplusBytes(connection, bytes.size() - used, "behind the response");
-  }
-  OnResponseProgress(connection, parsed);
-}
-
-// Handles the part of a response that has arrived so far, or the complete response.
-void RealServers::OnResponseProgress(ServerConnection& connection, ParseResult parsed) {
-  ServerExchange* exchange = connection.exchange;
-  HttpParser& parser = connection.parser;
-  // Before the request is completely written, only an error status for a streaming request body is accepted.
-  if (!exchange->written) {
-    const int status = parser.message().status;
-    const bool refused = exchange->streams_request && parser.head_complete() && status / 100 > 2;
-    if (parsed == ParseResult::kIncomplete && !refused && exchange->streams_request) return;
-    if (refused && (parsed == ParseResult::kComplete || parsed == ParseResult::kIncomplete)) {
-      return End(*exchange, Code::kResponse, parser.TakeHead());
-    }
-    counters_.Add("answers_unasked");
-    LogSurplusBytes(connection, 0, "before the request");
-    return End(*exchange, Code::kNotConnected);
-  }
-  // The server has received the request if it responds.
-  if (std::exchange(exchange->send_by, Time::max()) != Time::max()) ArmTimer(*exchange, exchange->deadline);
-  if (parsed != ParseResult::kIncomplete && parsed != ParseResult::kComplete) {
-    counters_.Add("answers_malformed");
-    return End(*exchange, exchange->streams_response() ? Code::kReset : Code::kMalformed);
-  }
-  UpdateBufferedBytes(*exchange, parser.HeldBytes());
-  const bool stream_early =
-      response_limit_.exceeded() && parser.message().body.size() >= kMinBodyStreamedEarly;
-  if (parsed == ParseResult::kIncomplete && stream_early) parser.StartStreaming();
-  const bool ready_to_stream = parsed == ParseResult::kComplete || !parser.message().body.empty();
-  if (parser.is_streaming() && ready_to_stream && !exchange->streams_response()) {
-    if (parser.message().status != 200 || !exchange->events.on_response_head) {
-      return End(*exchange, Code::kResponse, parser.TakeHead());  // the rest of the body is not read
-    }
-    exchange->response = ResponseProgress::kStreamed;
-    exchange->latency = Clock::now() - exchange->started;
-    connection.stream.LimitUnsentBytes();
-    streaming_limit_.BeginTransfer();
-    exchange->response_head = parser.TakeHead();
-    exchange->events.on_response_head(exchange->response_head);
-    if (connection.exchange != exchange) return;  // the callback cancelled the exchange
-  }
-  if (exchange->streams_response()) {
-    if (std::string part = parser.TakeBodyPart(); !part.empty())
-      exchange->events.on_response_body(std::move(part));
-    if (connection.exchange != exchange) return;
-    UpdateBufferedBytes(*exchange, parser.HeldBytes());
-  }
-  if (parsed == ParseResult::kComplete) return FinishResponse(connection);
-  if (parser.message_started()) ArmResponseTimer(*exchange);
-}
-
-// Arms the timer for the next part of the response.
-void RealServers::ArmResponseTimer(ServerExchange& exchange) {
-  const Time now = Clock::now();
-  switch (exchange.response) {
-    case ResponseProgress::kStreamed:
-      if (!exchange.paused) exchange.timer.Start(kStreamStallTimeout);
-      return;
-    case ResponseProgress::kHeld:         // further parts do not extend the hold time
-    case ResponseProgress::kBodyAwaited:  // nor the exchange's own time
-      return;
-    case ResponseProgress::kNone:
-    case ResponseProgress::kBuffered:
-      break;
-  }
-  const bool holds = MayHoldResponse(exchange);
-  exchange.response = holds ? ResponseProgress::kHeld : ResponseProgress::kBuffered;
-  ArmTimer(exchange, now + (holds ? kResponseHoldTime : kResponseStallTimeout));
-}
-
-// A response without a length may end soon, or else can be streamed.
-bool RealServers::MayHoldResponse(const ServerExchange& exchange) const {
-  const HttpParser& parser = exchange.connection->parser;
-  const bool length_unknown = parser.head_complete() && !parser.message().content_length;
-  return length_unknown && parser.message().status == 200 && exchange.events.on_response_head;
-}
-
-// The response is not complete within its hold time: streams it. Without any of its body there is nothing to
-// pass on yet, and the time of the exchange goes on as if nothing had arrived.
-void RealServers::EndHold(ServerExchange& exchange) {
-  exchange.response = ResponseProgress::kBodyAwaited;
-  exchange.connection->parser.StartStreaming();
-  if (!exchange.connection->parser.message().body.empty()) {
-    return OnResponseProgress(*exchange.connection, ParseResult::kIncomplete);
-  }
-  counters_.Add("answers_without_body_yet");
-  ArmTimer(exchange, exchange.deadline);
-}
-
-void RealServers::LogSurplusBytes(const ServerConnection& connection, size_t bytes, std::string_view when) {
-  const std::string server = PrintAddress(connection.address);
-  const auto after =
-      std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - connection.idle_since).count();
-  log_.Say(log::Event::kSurplusBytes,
-           "server " + server + " sent " + std::to_string(bytes) + " bytes " + std::string(when) +
-               ", after " + std::to_string(connection.responses) + " responses on connection " +
-               std::to_string(connection.id),
-           {{"server", server},
-            {"connection", static_cast<std::int64_t>(connection.id)},
-            {"bytes", static_cast<std::int64_t>(bytes)},
-            {"responses", std::int64_t{connection.responses}},
-            {"after_us", std::int64_t{after}},
-            {"when", std::string(when)}});
-}
-
-void RealServers::FinishResponse(ServerConnection& connection) {
-  ServerExchange& exchange = *connection.exchange;
-  ++connection.responses;
-  Message response = connection.parser.Take();
-  if (exchange.streams_response()) response = std::move(exchange.response_head);
-  if (response.keep_alive && !connection.excess_data) idle_.Add(std::move(exchange.connection));
-  End(exchange, Code::kResponse, std::move(response));
-}
-
 void RealServers::OnEnd(ServerConnection& connection) {
   if (ServerExchange* exchange = connection.exchange; exchange != nullptr) {
     if (exchange->awaiting_rest) return Reassign(*exchange);
@@ -521,10 +330,6 @@
   Destroy(std::move(exchange.connection));
 }
 
-void RealServers::UpdateBufferedBytes(ServerExchange& exchange, size_t bytes) {
-  response_limit_.Update(std::exchange(exchange.buffered_bytes, bytes), bytes);
-}
-
 void RealServers::ReleaseBufferSpace(ServerExchange& exchange) {
   UpdateBufferedBytes(exchange, 0);
   if (exchange.streams_request) streaming_limit_.EndTransfer();
