Drop an unused function, a needless clock read and a doubled test set-up

Seen on reading the change again: MessageBufferLimit::held had no caller, ArmResponseTimer read the clock also for pieces of a streamed response, and the memory tests changed the configuration twice. Behaviour and checks are the same.

--- a/src/passing/message_buffer_limit.h
+++ b/src/passing/message_buffer_limit.h
@@ -18,7 +18,6 @@
 
   // One connection holds `after` bytes instead of `before`.
   void Update(size_t before, size_t after) { held_ += after - before; }
-  size_t held() const { return held_; }
   bool exceeded() const { return held_ > (shared_ ? limit_ / 2 : limit_); }
   // During a handover two processes of one sidecar share the memory, half each.
   void SetShared(bool shared) { shared_ = shared; }
--- a/src/server/real_server_responses.cpp
+++ b/src/server/real_server_responses.cpp
@@ -108,7 +108,6 @@
 
 // Arms the timer for the next part of the response.
 void RealServers::ArmResponseTimer(ServerExchange& exchange) {
-  const Time now = Clock::now();
   switch (exchange.response) {
     case ResponseProgress::kStreamed:
       if (!exchange.paused) exchange.timer.Start(kStreamStallTimeout);
@@ -122,7 +121,7 @@
   }
   const bool holds = MayHoldResponse(exchange);
   exchange.response = holds ? ResponseProgress::kHeld : ResponseProgress::kBuffered;
-  ArmTimer(exchange, now + (holds ? kResponseHoldTime : kResponseStallTimeout));
+  ArmTimer(exchange, Clock::now() + (holds ? kResponseHoldTime : kResponseStallTimeout));
 }
 
 // A response without a length may end soon, or else can be streamed.
--- a/tests/net/request_memory_process_test.cpp
+++ b/tests/net/request_memory_process_test.cpp
@@ -29,6 +29,14 @@
   return lines;
 }
 
+// The change of a configuration that sets its memory limit.
+ProcessSite::Change MemoryLimit(int memory_mb) {
+  return [memory_mb](std::string* config) {
+    const std::string sockets = "\"sockets\":" + std::to_string(kDescriptors);
+    *config = Replaced(*config, sockets, "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
+  };
+}
+
 struct UnfinishedRequests {
   std::string name;
   int memory_mb;
@@ -66,11 +74,7 @@
   const auto cases = AllUnfinishedRequests();
   const UnfinishedRequests& bad = cases[GENERATE(range(size_t{0}, AllUnfinishedRequests().size()))];
   CAPTURE(bad.name);
-  ProcessSite site("request-memory", [&](std::string* config) {
-    *config = Replaced(
-        *config, "\"sockets\":" + std::to_string(kDescriptors),
-        "\"memory_mb\":" + std::to_string(bad.memory_mb) + ",\"sockets\":" + std::to_string(kDescriptors));
-  });
+  ProcessSite site("request-memory", MemoryLimit(bad.memory_mb));
   site.server.script = [&](Party::Peer& peer) {
     site.After(kServerWork, [&peer, id = *peer.last.Find("X-Request-ID")] { peer.Answer(200, id); });
   };
@@ -101,11 +105,7 @@
   constexpr int kMemoryMb = 24;
   constexpr int kClients = 440;
   const std::string body(60'000, 'r');
-  ProcessSite site("response-memory", [&](std::string* config) {
-    *config = Replaced(
-        *config, "\"sockets\":" + std::to_string(kDescriptors),
-        "\"memory_mb\":" + std::to_string(kMemoryMb) + ",\"sockets\":" + std::to_string(kDescriptors));
-  });
+  ProcessSite site("response-memory", MemoryLimit(kMemoryMb));
   site.server.script = [&](Party::Peer& peer) {
     peer.Reply("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
     for (int part = 0; part < 10; ++part) {
