Log what an attempt was doing when it ended, why clients were closed, and memory held

Change: attempt-ended and attempt-failed tell the phase (connecting, sending, awaiting head, awaiting body, receiving) and the bytes sent and received; flow-ended tells whether the body had come and was passed on, and the time since the head (elapsed_us was 0 until the body was whole). New events client-closed (debug) with its cause, and memory-limit. Counters now_* and peak_* tell connections, open requests, bytes held by part, and resident memory, once a second.

--- a/src/counters/counters.h
+++ b/src/counters/counters.h
@@ -20,6 +20,15 @@
       ++it->second;
     }
   }
+  // Sets a figure that may also fall, such as a number of bytes held now.
+  void Set(std::string_view name, std::uint64_t value) {
+    const auto it = counts_.find(name);
+    if (it == counts_.end()) {
+      counts_.emplace(name, value);
+    } else {
+      it->second = value;
+    }
+  }
   // 0 if nothing was counted under this name.
   std::uint64_t Of(std::string_view name) const {
     const auto it = counts_.find(name);
--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -23,6 +23,26 @@
 
 }  // namespace
 
+std::string_view NameOf(EdgeCloseCause cause) {
+  switch (cause) {
+    case EdgeCloseCause::kClientClosed:
+      break;
+    case EdgeCloseCause::kWriteFailed:
+      return "a response could not be written";
+    case EdgeCloseCause::kWriteStalled:
+      return "the client did not read its response";
+    case EdgeCloseCause::kResponseAborted:
+      return "the response broke on its way";
+    case EdgeCloseCause::kNoRequest:
+      return "no request came";
+    case EdgeCloseCause::kShed:
+      return "descriptors ran short";
+    case EdgeCloseCause::kLingerEnded:
+      return "after its last response";
+  }
+  return "closed by the client";
+}
+
 EdgeConnection::EdgeConnection(Loop& loop, EdgeOwner& owner, StreamingBufferLimit& buffer_limit,
                                MessageBufferLimit& request_limit)
     : loop_(loop),
@@ -209,7 +229,7 @@
     timeout_.Start(kWriteTimeout);
   } else if (wrote == Stream::WriteResult::kFailed) {
     loop_.Post(alive_, [this] {
-      if (stream_.open()) owner_.OnClosed(*this);
+      if (stream_.open()) owner_.OnClosed(*this, EdgeCloseCause::kWriteFailed);
     });
   }
   return wrote == Stream::WriteResult::kWritten;
@@ -252,11 +272,16 @@
   // Without framing a regular close would look like the end of the body.
   const bool has_framing = framing_.chunked || framing_.content_length;
   if (!has_framing) stream_.Reset();
-  owner_.OnClosed(*this);
+  owner_.OnClosed(*this, EdgeCloseCause::kResponseAborted);
+}
+
+void EdgeConnection::OnEnd() {
+  const bool lingers = state_ == State::kLingering;
+  owner_.OnClosed(*this, lingers ? EdgeCloseCause::kLingerEnded : EdgeCloseCause::kClientClosed);
 }
 
 void EdgeConnection::OnWritten(bool ok) {
-  if (!ok) return owner_.OnClosed(*this);
+  if (!ok) return owner_.OnClosed(*this, EdgeCloseCause::kWriteFailed);
   if (state_ != State::kWritingResponse) return;
   if (stream_.unwritten() > 0) {
     timeout_.Start(kWriteTimeout);
@@ -312,17 +337,20 @@
 }
 
 void EdgeConnection::OnTimeout() {
-  if (state_ == State::kLingering) return owner_.OnClosed(*this);
+  if (state_ == State::kLingering) return owner_.OnClosed(*this, EdgeCloseCause::kLingerEnded);
   if (state_ == State::kWritingResponse) {
     const size_t before = std::exchange(last_unwritten_, stream_.unwritten());
-    if (last_unwritten_ >= before) return owner_.OnClosed(*this);
+    if (last_unwritten_ >= before) return owner_.OnClosed(*this, EdgeCloseCause::kWriteStalled);
     return timeout_.Start(kWriteTimeout);  // slow, but it makes progress
   }
-  if (InputBufferFull()) return ClientGone() ? owner_.OnClosed(*this) : timeout_.Start(kClosePollInterval);
+  if (InputBufferFull()) {
+    if (ClientGone()) return owner_.OnClosed(*this, EdgeCloseCause::kClientClosed);
+    return timeout_.Start(kClosePollInterval);
+  }
   if (state_ != State::kReading && state_ != State::kStreamingBody) return;
   // The loop runs timers before reads: pending input is read first, once.
   if (!stream_.ReadWouldBlock() && !std::exchange(timeout_deferred_, true)) return timeout_.Start(0ms);
-  if (idle()) return owner_.OnClosed(*this);  // it never sent a request
+  if (idle()) return owner_.OnClosed(*this, EdgeCloseCause::kNoRequest);
   if (state_ == State::kReading) state_ = State::kAwaitingResponse;
   close_after_response_ = true;
   owner_.OnRequestTimeout(*this);
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -16,6 +16,20 @@
 
 class EdgeConnection;
 
+// Why a client's connection ends.
+enum class EdgeCloseCause {
+  kClientClosed,     // the client closed it, or it broke
+  kWriteFailed,      // a response could not be written
+  kWriteStalled,     // the client read nothing of its response for too long
+  kResponseAborted,  // the response broke on its way
+  kNoRequest,        // no request came
+  kShed,             // closed while idle, as descriptors ran short
+  kLingerEnded,      // the response was written, and the client has had time to read it
+};
+
+// Why it ended, in words for the log.
+std::string_view NameOf(EdgeCloseCause cause);
+
 // Receives a connection's events.
 class EdgeOwner {
  public:
@@ -34,7 +48,7 @@
   // A response is complete and the connection waits for the next request. May be closed inside this call.
   virtual void OnIdle() = 0;
   // The connection is finished or broken; the owner must release it.
-  virtual void OnClosed(EdgeConnection& edge) = 0;
+  virtual void OnClosed(EdgeConnection& edge, EdgeCloseCause cause) = 0;
 
  protected:
   ~EdgeOwner() = default;
@@ -64,6 +78,7 @@
 
   // The memory that its requests take: unfinished, pipelined, and complete ones until they are answered.
   size_t held_bytes() const { return held_bytes_; }
+  size_t unwritten_bytes() const { return stream_.unwritten(); }  // of its responses
   // A request has begun to arrive, and nothing of it has been handed to the owner.
   bool has_unfinished_request() const {
     return state_ == State::kReading && parser_.message_started() && input_.empty();
@@ -94,7 +109,7 @@
   enum class State { kReading, kStreamingBody, kAwaitingResponse, kWritingResponse, kLingering };
 
   void OnData(std::string_view bytes) override;
-  void OnEnd() override { owner_.OnClosed(*this); }
+  void OnEnd() override;
   void OnWritten(bool ok) override;
   void ParseInput();
   void UpdateHeldBytes();
--- a/src/flow/admit.cpp
+++ b/src/flow/admit.cpp
@@ -25,7 +25,8 @@
   edge.flow = flow.id;
   flow.deadline_timer = std::make_unique<Timer>(loop_, [this, id = flow.id] { on_deadline_(id); });
   flow.receiving_body = flow.request.streaming_body;
-  flow.deadline = Clock::now() + flow.request.time_left;
+  flow.admitted = Clock::now();
+  flow.deadline = flow.admitted + flow.request.time_left;
   if (!flow.receiving_body) OnBodyReceived(flow);
   return &flow;
 }
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -28,6 +28,7 @@
   FlowRequest request;
   EdgeConnection* edge = nullptr;
   State state = State::kDeciding;
+  Time admitted{};   // when the whole request had arrived, or the head of one with a streaming body
   Time received{};   // when the whole request had arrived
   Time deadline{};   // when the client gives up
   int attempts = 0;  // started so far
--- a/src/flow/flow_log.cpp
+++ b/src/flow/flow_log.cpp
@@ -71,14 +71,55 @@
       return "malformed body";
     case FlowEndCause::kSlowBody:
       return "the body did not arrive in time";
+    case FlowEndCause::kClientStalled:
+      return "the client did not read its response";
+    case FlowEndCause::kWriteFailed:
+      return "the response could not be written";
     case FlowEndCause::kClientGone:
       break;
   }
   return "the client closed its connection";
 }
 
+std::string NameOf(ExchangePhase phase) {
+  switch (phase) {
+    case ExchangePhase::kUnassigned:
+      break;
+    case ExchangePhase::kConnecting:
+      return "connecting";
+    case ExchangePhase::kAwaitingRest:
+      return "awaiting rest";
+    case ExchangePhase::kSending:
+      return "sending";
+    case ExchangePhase::kAwaitingHead:
+      return "awaiting head";
+    case ExchangePhase::kAwaitingBody:
+      return "awaiting body";
+    case ExchangePhase::kReceiving:
+      return "receiving";
+  }
+  return "unassigned";
+}
+
 }  // namespace
 
+FlowEndCause FlowEndCauseOf(EdgeCloseCause cause) {
+  switch (cause) {
+    case EdgeCloseCause::kWriteFailed:
+      return FlowEndCause::kWriteFailed;
+    case EdgeCloseCause::kWriteStalled:
+      return FlowEndCause::kClientStalled;
+    case EdgeCloseCause::kResponseAborted:
+      return FlowEndCause::kResponseBroke;
+    case EdgeCloseCause::kClientClosed:
+    case EdgeCloseCause::kNoRequest:
+    case EdgeCloseCause::kShed:
+    case EdgeCloseCause::kLingerEnded:
+      break;
+  }
+  return FlowEndCause::kClientGone;
+}
+
 void FlowLog::OnAttemptEnd(const Flow* flow, const AttemptResult& result) const {
   const Event event = IsFailure(result.outcome) && !log_.Enabled(Event::kAttemptEnded) ? Event::kAttemptFailed
                                                                                        : Event::kAttemptEnded;
@@ -94,7 +135,9 @@
                                 std::to_string(use.connection);
   log_.Say(event,
            "request " + request + ": attempt " + std::to_string(result.attempt) + " at " + server + " " +
-               connection + ": " + outcome,
+               connection + ": " + outcome + " while " + NameOf(use.phase) + ", " +
+               std::to_string(use.sent_bytes) + " bytes sent, " + std::to_string(use.received_bytes) +
+               " received",
            {{"request", request},
             {"attempt", std::int64_t{result.attempt}},
             {"server", server},
@@ -104,7 +147,10 @@
             {"reused", use.reused},
             {"idle_us", Micros(use.idle)},
             {"responses", std::int64_t{use.responses}},
-            {"first_byte_us", use.first_byte ? Micros(*use.first_byte) : std::int64_t{-1}}});
+            {"first_byte_us", use.first_byte ? Micros(*use.first_byte) : std::int64_t{-1}},
+            {"phase", NameOf(use.phase)},
+            {"sent_bytes", static_cast<std::int64_t>(use.sent_bytes)},
+            {"received_bytes", static_cast<std::int64_t>(use.received_bytes)}});
 }
 
 void FlowLog::OnFlowEnd(const Flow& flow, FlowEnd end, FlowEndCause cause) const {
@@ -113,16 +159,20 @@
   if (!log_.Enabled(event)) return;
   const std::string why = NameOf(cause);
   const std::string& class_name = class_names_.at(static_cast<size_t>(flow.request.request_class));
-  const std::int64_t elapsed = Micros(Clock::now() - flow.received);
+  const Time now = Clock::now();
   log_.Say(event,
            "request " + flow.request.id + " of class " + class_name + ": " + NameOf(end) + " (" + why +
-               ") after " + std::to_string(flow.attempts) + " attempts",
+               ") after " + std::to_string(flow.attempts) + " attempts" +
+               (flow.receiving_body ? ", before all of its body had come" : ""),
            {{"request", flow.request.id},
             {"class", class_name},
             {"end", NameOf(end)},
             {"why", why},
             {"attempts", std::int64_t{flow.attempts}},
-            {"elapsed_us", flow.receiving_body ? std::int64_t{0} : elapsed}});
+            {"elapsed_us", flow.receiving_body ? std::int64_t{0} : Micros(now - flow.received)},
+            {"since_head_us", Micros(now - flow.admitted)},
+            {"body_received", !flow.receiving_body},
+            {"body_sent", flow.body_sent}});
 }
 
 }  // namespace umberdyke::net
--- a/src/flow/flow_log.h
+++ b/src/flow/flow_log.h
@@ -22,8 +22,13 @@
   kMalformedBody,   // its streaming body turned out malformed
   kSlowBody,        // its streaming body did not arrive in time
   kClientGone,      // its client closed the connection
+  kClientStalled,   // its client read nothing of the response for too long
+  kWriteFailed,     // its response could not be written
 };
 
+// The cause of the end of a flow that is open when its client's connection ends.
+FlowEndCause FlowEndCauseOf(EdgeCloseCause cause);
+
 class FlowLog {
  public:
   FlowLog(log::Log& log, const ServerList& server_list, const std::vector<std::string>& class_names)
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -87,10 +87,11 @@
   if (it == attempts_.end()) return;
   const Attempt cancelled = it->second;
   attempts_.erase(it);
-  const std::optional<bool> written = servers_.Cancel(cancelled.exchange);
+  const CancelledExchange exchange =
+      servers_.Cancel(cancelled.exchange).value_or(CancelledExchange{.written = true, .use = {}});
   counters_.Add("attempts_cancelled");
-  const Outcome outcome = written.value_or(true) ? Outcome::kCancelled : Outcome::kNotSent;
-  done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}, {}});
+  const Outcome outcome = exchange.written ? Outcome::kCancelled : Outcome::kNotSent;
+  done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}, exchange.use});
 }
 
 void AttemptSender::CancelUnsent(FlowId flow) {
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -50,6 +50,8 @@
       {Event::kAttemptFailed, "attempt-failed", Level::kInfo, true},
       {Event::kFlowEnded, "flow-ended", Level::kDebug, false},
       {Event::kFlowUnserved, "flow-unserved", Level::kInfo, true},
+      {Event::kClientClosed, "client-closed", Level::kDebug, false},
+      {Event::kMemoryLimit, "memory-limit", Level::kWarning, true},
   };
   return kinds;
 }
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -56,6 +56,8 @@
   kAttemptFailed,
   kFlowEnded,
   kFlowUnserved,
+  kClientClosed,
+  kMemoryLimit,
 };
 enum class Level { kDebug, kInfo, kWarning, kError };
 
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -103,8 +103,10 @@
 void RealServers::Reuse(ServerExchange& exchange) {
   const ServerConnection& connection = *exchange.connection;
   exchange.awaiting_rest = false;
-  exchange.use = {connection.id, true, Clock::now() - connection.idle_since, connection.responses,
-                  std::nullopt};
+  exchange.use.connection = connection.id;
+  exchange.use.reused = true;
+  exchange.use.idle = Clock::now() - connection.idle_since;
+  exchange.use.responses = connection.responses;
   counters_.Add("connections_reused");
   SendRequest(exchange);
 }
@@ -157,6 +159,7 @@
     }
     return EndLater(exchange.id, Code::kNotConnected);
   }
+  exchange.use.sent_bytes = request->size();
   const Stream::WriteResult wrote = exchange.connection->stream.Write(std::move(*request));
   if (wrote == Stream::WriteResult::kFailed) {
     EndLater(exchange.id, Code::kNotConnected);
@@ -195,6 +198,7 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end() || bytes.empty()) return;
   it->second->timer.Start(kStreamStallTimeout);
+  it->second->use.sent_bytes += bytes.size();
   if (it->second->connection->stream.Write(std::move(bytes)) == Stream::WriteResult::kFailed) {
     EndLater(id, Code::kNotConnected);
   }
@@ -301,26 +305,45 @@
   std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
   ended->timer.Stop();
+  const ConnectionUse use = UseOf(*ended);
   ReleaseConnection(*ended);
   const auto done = std::move(ended->events.on_done);
   const Span latency = ended->streams_response() ? ended->latency : Clock::now() - ended->started;
-  const ConnectionUse use = ended->use;
   ReleaseBufferSpace(*ended);
   loop_.DestroyLater(std::move(ended));
   done({code, std::move(response), latency, use});
 }
 
-std::optional<bool> RealServers::Cancel(ExchangeId id) {
+std::optional<CancelledExchange> RealServers::Cancel(ExchangeId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return std::nullopt;
   std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
   ended->timer.Stop();
   ReleaseBufferSpace(*ended);
-  const bool written = ended->written;
+  const CancelledExchange cancelled{ended->written, UseOf(*ended)};
   ReleaseConnection(*ended);
   loop_.DestroyLater(std::move(ended));
-  return written;
+  return cancelled;
+}
+
+ExchangePhase RealServers::PhaseOf(const ServerExchange& exchange) {
+  if (exchange.connecting) return ExchangePhase::kConnecting;
+  if (exchange.awaiting_rest) return ExchangePhase::kAwaitingRest;
+  if (exchange.streams_response()) return ExchangePhase::kReceiving;
+  if (exchange.connection == nullptr) {  // handed back after a complete response
+    return exchange.use.received_bytes > 0 ? ExchangePhase::kReceiving : ExchangePhase::kUnassigned;
+  }
+  if (!exchange.written) return ExchangePhase::kSending;
+  const HttpParser& parser = exchange.connection->parser;
+  if (!parser.head_complete()) return ExchangePhase::kAwaitingHead;
+  return parser.message().body.empty() ? ExchangePhase::kAwaitingBody : ExchangePhase::kReceiving;
+}
+
+ConnectionUse RealServers::UseOf(const ServerExchange& exchange) {
+  ConnectionUse use = exchange.use;
+  use.phase = PhaseOf(exchange);
+  return use;
 }
 
 // Nothing was sent on a connection that still rests, so it stays.
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -24,6 +24,17 @@
 
 using ExchangeId = std::uint64_t;
 
+// What an exchange was doing when it ended, for the log.
+enum class ExchangePhase {
+  kUnassigned,    // it had no connection
+  kConnecting,    // its connection was being opened
+  kAwaitingRest,  // its connection still rested after its last response
+  kSending,       // part of the request was not written
+  kAwaitingHead,  // the request was written; the response had no complete head
+  kAwaitingBody,  // the head of the response had arrived, nothing of its body
+  kReceiving,     // part of the body had arrived
+};
+
 // How an exchange used its connection, for the log.
 struct ConnectionUse {
   std::uint64_t connection = 0;    // numbered from the start of the process; 0: the exchange had none
@@ -31,6 +42,15 @@
   Span idle{};                     // since the last exchange on it
   int responses = 0;               // that it has carried before
   std::optional<Span> first_byte;  // from the last byte of the request to the first of the response
+  ExchangePhase phase = ExchangePhase::kUnassigned;  // at its end
+  size_t sent_bytes = 0;                             // of the request, written or waiting to be written
+  size_t received_bytes = 0;                         // of the response, and what came with it
+};
+
+// What is left of an exchange that was cancelled.
+struct CancelledExchange {
+  bool written = false;  // the complete request had been written
+  ConnectionUse use;
 };
 
 struct ExchangeResult {
@@ -91,9 +111,9 @@
   // Backpressure for a streaming response: stops and restarts reading from the real server.
   void PauseResponse(ExchangeId exchange);
   void ResumeResponse(ExchangeId exchange);
-  // Closes the exchange's connection; on_done is not called. Returns whether the complete request had been
-  // written, or nothing for an exchange that has already ended.
-  std::optional<bool> Cancel(ExchangeId exchange);
+  // Closes the exchange's connection; on_done is not called. Returns nothing for an exchange that has already
+  // ended.
+  std::optional<CancelledExchange> Cancel(ExchangeId exchange);
   // Closes the idle connections to `server`.
   void CloseIdle(ServerId server);
   // Closes idle connections that are close to the idle timeout. Call it about once a second.
@@ -113,6 +133,8 @@
   void OnSpareConnected(ServerConnection& connection, bool success);
   ServerExchange* FindAwaitingRest(const ServerConnection& spare);
   void ReleaseConnection(ServerExchange& exchange);
+  static ExchangePhase PhaseOf(const ServerExchange& exchange);
+  static ConnectionUse UseOf(const ServerExchange& exchange);
   void SendRequest(ServerExchange& exchange);
   void ArmTimer(ServerExchange& exchange, Time limit);
   void OnRequestWritten(ServerExchange& exchange);
--- a/src/server/real_server_responses.cpp
+++ b/src/server/real_server_responses.cpp
@@ -44,6 +44,7 @@
     LogSurplusBytes(connection, bytes.size(), "idle");
     return OnEnd(connection);
   }
+  exchange->use.received_bytes += bytes.size();
   if (exchange->written && !exchange->use.first_byte)
     exchange->use.first_byte = Clock::now() - exchange->written_at;
   size_t used = 0;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -30,6 +30,7 @@
 // The parts of the memory that buffered requests and responses may hold.
 constexpr size_t kRequestMemoryDivisor = 4;
 constexpr size_t kResponseMemoryDivisor = 8;
+constexpr size_t kBytesPerKb = 1024;
 
 }  // namespace
 
@@ -245,18 +246,31 @@
   EdgeConnection* oldest = OldestIdleEdge(edges_);
   if (oldest == nullptr) return false;
   counters_.Add("edges_shed");
-  OnClosed(*oldest);
+  OnClosed(*oldest, EdgeCloseCause::kShed);
   return true;
 }
 
 // The largest requests go first: they are rarely those of regular clients.
 void Sidecar::OnRequestBufferLimitExceeded() {
+  const size_t held = request_limit_.held();
+  std::int64_t dropped = 0;
   while (request_limit_.exceeded()) {
     EdgeConnection* edge = EdgeWithLargestUnfinishedRequest(edges_);
-    if (edge == nullptr) return;
+    if (edge == nullptr) break;
     edge->DropUnfinishedRequest();
     request_intake_.RespondToDroppedRequest(*edge);
+    ++dropped;
   }
+  const auto resident_kb = static_cast<std::int64_t>(counters_.Of("now_resident_kb"));
+  log_->Say(Event::kMemoryLimit,
+            "requests hold " + std::to_string(held) + " bytes, more than their " +
+                std::to_string(request_limit_.limit()) + ": dropped " + std::to_string(dropped) +
+                " unfinished ones; " + std::to_string(resident_kb) + " kB resident",
+            {{"held_bytes", static_cast<std::int64_t>(held)},
+             {"limit_bytes", static_cast<std::int64_t>(request_limit_.limit())},
+             {"dropped", dropped},
+             {"clients", static_cast<std::int64_t>(edges_.size())},
+             {"resident_kb", resident_kb}});
 }
 
 // Accepts clients from the kernel's queue once an edge connection is free.
@@ -267,19 +281,31 @@
   });
 }
 
-void Sidecar::OnClosed(EdgeConnection& edge) {
+void Sidecar::OnClosed(EdgeConnection& edge, EdgeCloseCause cause) {
   const auto it = edges_.find(&edge);
   if (!INVARIANT(it != edges_.end(), counters_)) return;
   std::unique_ptr<EdgeConnection> closed = std::move(it->second);
   edges_.erase(it);
+  LogClose(*closed, cause);
   closed->Close();
   if (closed->flow != 0) counters_.Add("flows_left");
-  AbandonFlow(*closed, FlowEnd::kClientGone, FlowEndCause::kClientGone);
+  AbandonFlow(*closed, FlowEnd::kClientGone, FlowEndCauseOf(cause));
   loop_.DestroyLater(std::move(closed));
   OnIdle();
   NotifyIfDrained();
 }
 
+void Sidecar::LogClose(const EdgeConnection& edge, EdgeCloseCause cause) {
+  if (!log_->Enabled(Event::kClientClosed)) return;
+  const Flow* flow = edge.flow == 0 ? nullptr : flows_.Find(edge.flow);
+  const std::string why(NameOf(cause));
+  log_->Say(Event::kClientClosed, "a client's connection ended: " + why,
+            {{"why", why},
+             {"open_request", flow == nullptr ? std::string() : flow->request.id},
+             {"held_bytes", static_cast<std::int64_t>(edge.held_bytes())},
+             {"unwritten_bytes", static_cast<std::int64_t>(edge.unwritten_bytes())}});
+}
+
 void Sidecar::CheckServer(ServerId server) {
   RunHealthCheck(server, [this, server](Outcome outcome, const std::optional<LoadReport>& load) {
     decisions_.OnCheckResult(server, outcome, load);
@@ -309,9 +335,22 @@
   servers_.CloseExpired();
   server_list_.RemoveGone(Clock::now() - kGoneServerRetention);
   OnIdle();
+  UpdateGauges();
   tick_.Start(kHousekeepingInterval);
 }
 
+void Sidecar::UpdateGauges() {
+  counters_.Set("now_clients", edges_.size());
+  counters_.Set("now_server_connections", static_cast<std::uint64_t>(servers_.open_connections()));
+  counters_.Set("now_open_requests", flows_.size());
+  counters_.Set("now_request_bytes", request_limit_.held());
+  counters_.Set("now_response_bytes", response_limit_.held());
+  counters_.Set("now_streams", streaming_limit_.transfers());
+  counters_.Set("now_resident_kb", ResidentBytes() / kBytesPerKb);
+  counters_.Set("peak_request_bytes", request_limit_.peak());
+  counters_.Set("peak_response_bytes", response_limit_.peak());
+}
+
 std::string Sidecar::CheckZonePlan(const std::string& text) const {
   return zone_watch_ ? zone_watch_->CheckDirective(text) : ConsoleOwner::CheckZonePlan(text);
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -69,7 +69,7 @@
   void OnRequestTimeout(EdgeConnection& edge) override;
   void OnRequestBufferLimitExceeded() override;
   void OnIdle() override;
-  void OnClosed(EdgeConnection& edge) override;
+  void OnClosed(EdgeConnection& edge, EdgeCloseCause cause) override;
 
   void SendAttempt(FlowId flow, ServerId server, std::optional<Span> time_out,
                    std::optional<Span> send_within) override;
@@ -84,6 +84,7 @@
   void LogModuleText(const std::string& text) override;
 
   void OnListChange(const ServerListEvent& change);
+  void LogClose(const EdgeConnection& edge, EdgeCloseCause cause);
   void AcceptConnection();
   void PauseAccepting();
   bool ShedOldestEdge();
@@ -97,6 +98,7 @@
   void ReportConnectionResult(ServerId server, Outcome outcome);
   void OnFinalDeadline(FlowId flow);
   void Tick();
+  void UpdateGauges();
   void StartClosing();
   void StopListening();
   void NotifyIfDrained();
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -70,7 +70,7 @@
   Flow* flow = flows_.Find(id);
   if (flow != nullptr && flow->edge->ClientGone()) {
     counters_.Add("sends_for_nobody");
-    OnClosed(*flow->edge);
+    OnClosed(*flow->edge, EdgeCloseCause::kClientClosed);
     flow = nullptr;
   }
   const int attempt = flow == nullptr ? 0 : flow->attempts++;
