--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <map>
 
 #include "config/cases.h"
 #include "files/files.h"
@@ -452,5 +453,37 @@
       [&] { return cluster.Log(next).find("its limits to itself") != std::string::npos; }, 3s));
 }
 
+// Fails if an id whose client has left one process of a replacement runs again through the other one.
+TEST_CASE("an id that comes again at the other process of a replacement is not run twice", "[handover]") {
+  HandoverCluster cluster;
+  std::map<std::string, int> runs;
+  cluster.server.script = [&](Party::Peer& peer) { ++runs[*peer.last.Find("X-Request-ID")]; };
+  const auto send_and_leave = [&](const std::string& id) {
+    Client client(cluster.loop, *ParseAddress(cluster.listen()));
+    const int before = runs[id];
+    client.Send(Replaced(Hand("hand"), "b2", id));
+    cluster.loop.RunUntil([&] { return runs[id] > before || !client.answers.empty() || client.ended; }, 1s);
+  };
+  const int old_process = cluster.Start();
+  REQUIRE(cluster.WaitUntilReady(old_process));
+  send_and_leave("before");
+  const int new_process = cluster.Start();
+  REQUIRE(cluster.WaitUntilReady(new_process));
+  for (int i = 0; i < 12; ++i) {  // either process may accept each of these connections
+    send_and_leave("during" + std::to_string(i));
+    send_and_leave("during" + std::to_string(i));
+    send_and_leave("during" + std::to_string(i));
+  }
+  cluster.SignalProcess(old_process, SIGTERM);
+  cluster.loop.RunUntil([] { return false; }, 100ms);
+  send_and_leave("before");
+  for (const auto& [id, count] : runs) {
+    CAPTURE(id);
+    CHECK(count <= 1);
+  }
+  CHECK(runs["before"] == 1);
+  CHECK(runs.size() == 13);
+}
+
 }  // namespace
 }  // namespace umberdyke::net
--- /dev/null
+++ b/tests/net/long_body_process_test.cpp
@@ -0,0 +1,102 @@
+// Tests that a real process answers long requests in time, and passes long responses on, at any pace of its
+// servers.
+#include <catch2/catch.hpp>
+
+#include "net/paced_peers.h"
+#include "net/process_site.h"
+
+namespace umberdyke::net {
+namespace {
+
+constexpr Span kGrace = 500ms;  // a request is lost if its answer comes later than this after its time
+
+// Two paced servers beside the site's own, which drains; a limit of memory with 1,024 descriptors.
+struct LongBodySite : ProcessSite {
+  explicit LongBodySite(int memory_mb)
+      : ProcessSite("long-body",
+                    [memory_mb](std::string* config) {
+                      const std::string sockets = "\"sockets\":1024";
+                      *config = Replaced(*config, sockets,
+                                         "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
+                    }),
+        paced(loop) {
+    REQUIRE(loop.RunUntil([this] { return watch != nullptr; }, 5s));
+    Tell(ListText(2, true, {ServerLine("paced", paced.address())}));
+    Wait(50ms);
+  }
+  PacedServer paced;
+};
+
+// Fails if the limit for a pause in a response that is held whole cuts off one that is longer.
+TEST_CASE("a long response whose body begins long after its head is passed on whole", "[long]") {
+  constexpr size_t kLength = 145'269;
+  constexpr size_t kPiece = 15'000;
+  const int memory_mb = GENERATE(32, 192);
+  const Span pause = GENERATE(Span(300ms), Span(900ms), Span(1800ms));
+  CAPTURE(memory_mb, pause.count());
+  LongBodySite site(memory_mb);
+  site.paced.on_request = [&](PacedServer::Peer& peer) {
+    peer.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLength) + "\r\n\r\n");
+    for (size_t at = 0, i = 0; at < kLength; at += kPiece, ++i) {
+      const size_t piece = std::min(kPiece, kLength - at);
+      site.After(pause + i * 50ms, [&peer, piece] { peer.Write(std::string(piece, 'r')); });
+    }
+  };
+  const std::string request_class = GENERATE("look", "hand");
+  const std::string request = request_class == "look" ? Look("2500", "late") : Hand(request_class);
+  PacedClient client(site.loop, *ParseAddress(site.listen_address), request, 0);
+  site.loop.RunUntil([&] { return client.received > kLength || client.ended_at; }, 6s);
+  CHECK(client.status() == 200);
+  CHECK(client.received > kLength);
+  CHECK(client.first_byte_at.value_or(Time::max()) - *client.written_at < 2500ms + kGrace);
+  CHECK(site.paced.requests == 1);
+}
+
+struct SlowlyReadRequest {
+  size_t length;
+  double written_per_second;  // 0: at once
+  double read_per_second;     // 0: at once, up to stop_after
+  size_t stop_after;
+  int clients;
+};
+
+// Fails if what lies unread in the kernel, or a server that stops reading, keeps a client without its answer.
+TEST_CASE("a long request that its server reads slowly has its answer in time", "[long]") {
+  constexpr int kTimeoutMs = 1500;
+  const int memory_mb = GENERATE(32, 192);
+  const auto slow = GENERATE(
+      SlowlyReadRequest{969'855, 172'900, 103'595, kNoLimit, 1},
+      SlowlyReadRequest{835'895, 996'000, 109'167, kNoLimit, 1},
+      SlowlyReadRequest{908'837, 962'000, 97'154, kNoLimit, 24}, SlowlyReadRequest{198'775, 0, 0, 5'860, 1},
+      SlowlyReadRequest{198'775, 0, 0, 5'860, 60}, SlowlyReadRequest{2'500'000, 0, 109'167, kNoLimit, 12},
+      SlowlyReadRequest{300'000, 601'000, 400'000, kNoLimit, 1});
+  CAPTURE(memory_mb, slow.length, slow.read_per_second, slow.clients);
+  LongBodySite site(memory_mb);
+  site.paced.bytes_per_second = slow.read_per_second;
+  site.paced.stop_after = slow.stop_after;
+  site.paced.on_request = [](PacedServer::Peer& peer) { peer.Write(WriteResponse(200, {}, "ok", true)); };
+  std::vector<std::unique_ptr<PacedClient>> clients;
+  for (int i = 0; i < slow.clients; ++i) {
+    clients.push_back(std::make_unique<PacedClient>(
+        site.loop, *ParseAddress(site.listen_address),
+        LongRequest("slow" + std::to_string(i), slow.length, kTimeoutMs), slow.written_per_second));
+  }
+  const auto answered = [](const auto& client) { return client->first_byte_at.has_value(); };
+  site.loop.RunUntil([&] { return std::all_of(clients.begin(), clients.end(), answered); }, 14s);
+  INFO(site.Ask("GET /-/counters HTTP/1.1\r\n\r\n").body);
+  int late = 0;
+  for (const auto& client : clients) {
+    REQUIRE((client->written_at || client->first_byte_at));
+    const Time due =
+        client->written_at.value_or(Time::max() - 10s) + std::chrono::milliseconds(kTimeoutMs) + kGrace;
+    if (!client->first_byte_at || *client->first_byte_at > due) ++late;
+  }
+  CHECK(late == 0);
+  // A server that reads in time is waited for.
+  const bool reads_in_time = slow.read_per_second == 400'000;
+  if (reads_in_time) CHECK(clients.front()->status() == 200);
+  CHECK_FALSE(site.process->Ended().has_value());
+}
+
+}  // namespace
+}  // namespace umberdyke::net
--- a/tests/net/process_site.h
+++ b/tests/net/process_site.h
@@ -24,7 +24,8 @@
       : folder((std::filesystem::temp_directory_path() / ("umberdyke-" + name + std::to_string(getpid())))
                    .string()),
         listen_address(lab::OwnAddress() + ":18301") {
-    discovery.script = [](Party::Peer& peer) {
+    discovery.script = [this](Party::Peer& peer) {
+      watch = &peer;
       peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     };
     const std::string known = ListText(1, true, {ServerLine("s0", server.address())});
@@ -45,6 +46,12 @@
   void Wait(Span time) {
     loop.RunUntil([] { return false; }, time);
   }
+  // Reports a change of the server list.
+  void Tell(const std::string& line) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
+    watch->Reply(size + line + "\n\r\n");
+  }
   Message Ask(const std::string& request) {
     Client client(loop, *ParseAddress(listen_address));
     client.Send(request);
@@ -55,6 +62,7 @@
   const std::string folder;
   Loop loop;
   Party discovery{loop};
+  Party::Peer* watch = nullptr;
   Party server{loop};
   const std::string listen_address;
   std::unique_ptr<lab::Process> process;
