Bound what one client sends ahead, in bytes held and in requests parsed in one turn

What callers saw: a process over its limit (255 MB of 32 with 440 clients that send small requests at full speed, 73 MB with one), others' answers late or never (up to 5 s).

Cause: EdgeConnection appended to its input without limit while it was between requests, where libuv reads up to 32 times 16 kB in one turn and one request is parsed of each read; after every answer it read again although 16 kB were still unparsed, so the input of one connection grew by 16 kB a request. All that had come was then parsed in the same turn of the loop. Class: a limit that holds in some states of a connection only, and work per turn that the sender decides. Evidence: peak_request_bytes, 67 MB of 73 with one connection.

Change: reading pauses in every state while input waits (16 kB, or any while all requests together hold too much; then reads are of 1 kB). Four requests that were sent ahead are parsed, then others get a poll (Loop::PostAfterPoll); after 256 in a row, four a millisecond. A limit by bytes held and by turn holds whatever is sent, at any speed.

--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_connection.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace umberdyke::net {
@@ -19,7 +20,13 @@
 constexpr Span kFirstRequestTimeout = 400ms;      // see first_request_overdue()
 constexpr Span kClosePollInterval = 40ms;         // to detect a close while reading is paused
 constexpr size_t kMaxPipelinedInput = 16 * 1024;  // buffered while a request is processed
-constexpr size_t kMaxIdleInputCapacity = 1024;    // kept for the next input
+constexpr size_t kReadBytesOverLimit = 1024;      // at a time, while all requests together hold too much
+// Requests that one client has sent ahead: so many are parsed before other connections get their turn, and
+// after so many in a row only kMaxRequestsInTurn for each kFloodInterval.
+constexpr int kMaxRequestsInTurn = 4;
+constexpr int kFloodRequests = 256;
+constexpr Span kFloodInterval = 1ms;
+constexpr size_t kMaxIdleInputCapacity = 1024;  // kept for the next input
 
 }  // namespace
 
@@ -50,7 +57,8 @@
       buffer_limit_(buffer_limit),
       request_limit_(request_limit),
       stream_(loop, this),
-      timeout_(loop, [this] { OnTimeout(); }) {
+      timeout_(loop, [this] { OnTimeout(); }),
+      parse_timer_(loop, [this] { ParseNextRequest(); }) {
   parser_.StreamLongBodies();
 }
 
@@ -61,6 +69,7 @@
 
 void EdgeConnection::Close() {
   timeout_.Stop();
+  parse_timer_.Stop();
   stream_.Close();
   UpdateHeldBytes();
 }
@@ -108,12 +117,46 @@
   if (state_ == State::kLingering) return;
   last_activity_ = Clock::now();
   input_.append(bytes);
-  if (state_ == State::kReading || state_ == State::kStreamingBody) {
-    ParseInput();
-  } else if (input_.size() > kMaxPipelinedInput || request_limit_.exceeded()) {
-    input_paused_ = true;
-    PauseReading();
-  }
+  if (!parse_pending_) ParseInput();
+  if (stream_.open()) ReadUnlessEnoughInput();
+  UpdateHeldBytes();
+}
+
+size_t EdgeConnection::MaxReadBytes() const {
+  return request_limit_.exceeded() ? kReadBytesOverLimit : std::numeric_limits<size_t>::max();
+}
+
+// What is there waits for its turn, or for the answer to the request before it.
+bool EdgeConnection::HoldsEnoughInput() const {
+  if (state_ == State::kStreamingBody || state_ == State::kLingering) return false;
+  return input_.size() > kMaxPipelinedInput || (!input_.empty() && request_limit_.exceeded());
+}
+
+void EdgeConnection::ReadUnlessEnoughInput() {
+  if (state_ == State::kStreamingBody && InputBufferFull()) return;
+  input_paused_ = HoldsEnoughInput();
+  input_paused_ ? PauseReading() : stream_.Read();
+}
+
+// Requests that have been sent ahead are parsed a few in each turn of the loop, so that a client that sends
+// at full speed leaves time for the others.
+void EdgeConnection::ParseInputLater() {
+  if (std::exchange(parse_pending_, true)) return;
+  const auto parse = [this] { ParseNextRequest(); };
+  if (++requests_in_turn_ < kMaxRequestsInTurn) return loop_.Post(alive_, parse);
+  requests_in_turn_ = 0;
+  requests_without_pause_ += kMaxRequestsInTurn;
+  const bool floods = requests_without_pause_ >= kFloodRequests && !close_when_idle_;
+  if (floods) return parse_timer_.Start(kFloodInterval);
+  loop_.PostAfterPoll(alive_, parse);
+}
+
+void EdgeConnection::ParseNextRequest() {
+  parse_pending_ = false;
+  ParseInput();
+  if (!stream_.open()) return;
+  if (input_.empty()) requests_without_pause_ = 0;
+  ReadUnlessEnoughInput();
   UpdateHeldBytes();
 }
 
@@ -298,22 +341,19 @@
 // Lingers instead of closing: closing with unread input would send a reset, which may discard the response.
 void EdgeConnection::FinishResponse() {
   timeout_.Stop();
-  stream_.Read();
   has_responded_ = true;
   last_activity_ = Clock::now();
   const bool unread_body = body_unread_ || (request_streaming_ && !body_received_);
   EndTransfers();
-  response_ended_ = continue_sent_ = body_received_ = input_paused_ = false;
+  response_ended_ = continue_sent_ = body_received_ = false;
   body_ = std::string();
   request_bytes_ = 0;
   UpdateHeldBytes();
   if (close_after_response_) return Linger(unread_body ? kUnreadBodyLingerTimeout : kLingerTimeout);
   state_ = State::kReading;
+  ReadUnlessEnoughInput();
   if (!input_.empty()) {
-    loop_.Post(alive_, [this] {
-      ParseInput();
-      UpdateHeldBytes();
-    });
+    ParseInputLater();
   } else if (close_when_idle_ && stream_.ReadWouldBlock()) {
     Linger(kLingerTimeout);
   } else {
@@ -325,7 +365,9 @@
 // discarded, because a reset could make the client lose the last response.
 void EdgeConnection::Linger(Span timeout) {
   state_ = State::kLingering;
+  parse_timer_.Stop();
   DropInput();
+  stream_.Read();
   stream_.EndSending();
   timeout_.Start(timeout);
 }
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -112,6 +112,11 @@
   void OnEnd() override;
   void OnWritten(bool ok) override;
   void ParseInput();
+  void ParseInputLater();
+  void ParseNextRequest();
+  size_t MaxReadBytes() const override;
+  bool HoldsEnoughInput() const;
+  void ReadUnlessEnoughInput();
   void UpdateHeldBytes();
   void DropInput();
   void ReceiveBody(ParseResult parsed);
@@ -142,8 +147,11 @@
   bool response_streaming_ = false;  // likewise
   bool response_ended_ = false;      // EndResponse was called
   bool continue_sent_ = false;
-  bool input_paused_ = false;  // enough pipelined input is buffered
-  bool body_unread_ = false;   // the client may still send the body of a dropped request
+  bool input_paused_ = false;       // enough pipelined input is buffered
+  bool parse_pending_ = false;      // ParseNextRequest will be called
+  int requests_in_turn_ = 0;        // parsed from buffered input since the loop last polled
+  int requests_without_pause_ = 0;  // parsed from buffered input since that was last empty
+  bool body_unread_ = false;        // the client may still send the body of a dropped request
   Framing framing_;
   size_t last_unwritten_ = 0;          // at the last check for write progress
   bool close_after_response_ = false;  // after the current response
@@ -153,6 +161,7 @@
   Time last_activity_ = Clock::now();
   Time body_deadline_{};  // for the rest of the request body
   Timer timeout_;
+  Timer parse_timer_;
 };
 
 }  // namespace umberdyke::net
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <iterator>
 #include <new>
 #include <utility>
 
@@ -62,11 +63,17 @@
     static_cast<Loop*>(p->data)->RunPosted();
     uv_update_time(p->loop);  // the time to poll for is counted from it
   });
+  uv_check_init(&loop_, &check_);
+  check_.data = this;
+  uv_check_start(&check_, [](uv_check_t* c) { static_cast<Loop*>(c->data)->OnPolled(); });
+  uv_idle_init(&loop_, &idle_);
 }
 
 Loop::~Loop() {
   RunPosted();
   uv_close(reinterpret_cast<uv_handle_t*>(&prepare_), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&check_), nullptr);
+  uv_close(reinterpret_cast<uv_handle_t*>(&idle_), nullptr);
   uv_run(&loop_, UV_RUN_DEFAULT);
   uv_loop_close(&loop_);
 }
@@ -110,6 +117,18 @@
   }
 }
 
+void Loop::PostAfterPoll(std::weak_ptr<void> guard, std::function<void()> task) {
+  after_poll_.push_back({std::move(guard), std::move(task)});
+  uv_idle_start(&idle_, [](uv_idle_t*) {});
+}
+
+void Loop::OnPolled() {
+  if (after_poll_.empty()) return;
+  uv_idle_stop(&idle_);
+  std::move(after_poll_.begin(), after_poll_.end(), std::back_inserter(posted_));
+  after_poll_.clear();
+}
+
 void Loop::RunPosted() {
   while (!posted_.empty()) {
     std::vector<Task> tasks;
@@ -252,8 +271,10 @@
   uv_read_start(
       reinterpret_cast<uv_stream_t*>(&handle_->uv),
       [](uv_handle_t* h, size_t, uv_buf_t* buffer) {
-        auto& space = static_cast<Handle*>(h->data)->loop->read_buffer();
-        *buffer = uv_buf_init(space.data(), static_cast<unsigned>(space.size()));
+        const auto* handle = static_cast<Handle*>(h->data);
+        auto& space = handle->loop->read_buffer();
+        const size_t wanted = handle->callbacks == nullptr ? space.size() : handle->callbacks->MaxReadBytes();
+        *buffer = uv_buf_init(space.data(), static_cast<unsigned>(std::min(wanted, space.size())));
       },
       [](uv_stream_t* s, ssize_t count, const uv_buf_t* buffer) {
         StreamCallbacks* callbacks = static_cast<Handle*>(s->data)->callbacks;
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,6 +57,9 @@
   void Post(std::weak_ptr<void> guard, std::function<void()> task) {
     posted_.push_back({std::move(guard), std::move(task)});
   }
+  // Runs `task` after the loop has polled for input and output once more, so that other connections get their
+  // turn before it. Drops it if `guard` has expired by then.
+  void PostAfterPoll(std::weak_ptr<void> guard, std::function<void()> task);
   // Deferred destruction: destroys `object` before the loop next waits, when none of its member functions can
   // be on the stack. Its timers may still fire before that.
   template <typename T>
@@ -68,15 +72,19 @@
  private:
   friend class Timer;
   void RunPosted();
+  void OnPolled();
 
   uv_loop_t loop_;
   bool in_timer_callback_ = false;
   uv_prepare_t prepare_;
+  uv_check_t check_;
+  uv_idle_t idle_;  // active while a task waits for a poll, which then does not wait
   struct Task {
     std::weak_ptr<void> guard;
     std::function<void()> run;
   };
   std::vector<Task> posted_;
+  std::vector<Task> after_poll_;
   std::vector<std::shared_ptr<void>> to_destroy_;
   std::array<char, 16384> read_buffer_;  // for all streams: OnData uses the bytes before the next read
 };
@@ -152,6 +160,8 @@
   virtual void OnData(std::string_view bytes) = 0;
   virtual void OnEnd() = 0;  // the peer closed, or the connection failed
   virtual void OnWritten(bool /*ok*/) {}
+  // The most that the next OnData may get, above 0.
+  virtual size_t MaxReadBytes() const { return std::numeric_limits<size_t>::max(); }
 
  protected:
   ~StreamCallbacks() = default;
