Pass on the head of a long response whose body begins late, and end limits that are over

What callers saw: a long response whose body began over 250 ms after its head was cut off, at every server in turn (502 after five attempts); a short one that fell silent was cut 10 s later only.

Cause: RealServers used the limit for a pause in a response that is buffered whole (250 ms) until the first byte of the body, although one announced as longer than 64 KiB is never buffered. Class: a time limit of one state that goes on in another. The same class in related code: an interim response in two parts left its 250 ms running for the final one; a connection that had been paused for a slow client went to the idle ones unread; the 10 s of a long stream held for a response without a length that is short so far.

Change: a response that is announced as long is held 100 ms, then its head is passed on and the limit of streams (10 s) holds. The limit ends with an interim response. A connection is read again before it is idle. A stream without a length that has brought under 64 KiB may fall silent for 1 s after the time of its attempt.

--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -144,6 +144,8 @@
   void ArmResponseTimer(ServerExchange& exchange);
   bool MayHoldResponse(const ServerExchange& exchange) const;
   void EndHold(ServerExchange& exchange);
+  static Span StreamStallTimeout(const ServerExchange& exchange);
+  bool BeginStreaming(ServerConnection& connection);
   void UpdateBufferedBytes(ServerExchange& exchange, size_t bytes);
   void UpdateUnwrittenBytes(ServerExchange& exchange, size_t bytes);
   void ReleaseBufferSpace(ServerExchange& exchange);
--- a/src/server/real_server_responses.cpp
+++ b/src/server/real_server_responses.cpp
@@ -16,6 +16,8 @@
 constexpr Span kResponseStallTimeout = 250ms;
 // How long a response of unknown length is buffered, waiting for its end, before it is streamed.
 constexpr Span kResponseHoldTime = 100ms;
+// How long a response that is streamed without a length, and short so far, may fall silent after its time.
+constexpr Span kShortStreamStallTime = 1s;
 // Where buffered responses hold too much memory, one with at least so much of its body is streamed.
 constexpr size_t kMinBodyStreamedEarly = 4 * 1024;
 
@@ -84,18 +86,12 @@
   const bool stream_early =
       response_limit_.exceeded() && parser.message().body.size() >= kMinBodyStreamedEarly;
   if (parsed == ParseResult::kIncomplete && stream_early) parser.StartStreaming();
-  const bool ready_to_stream = parsed == ParseResult::kComplete || !parser.message().body.empty();
+  const bool body_unwanted = parser.message().status != 200 || !exchange->events.on_response_head;
+  const bool ready_to_stream =
+      parsed == ParseResult::kComplete || !parser.message().body.empty() || body_unwanted;
   if (parser.is_streaming() && ready_to_stream && !exchange->streams_response()) {
-    if (parser.message().status != 200 || !exchange->events.on_response_head) {
-      return End(*exchange, Code::kResponse, parser.TakeHead());  // the rest of the body is not read
-    }
-    exchange->response = ResponseProgress::kStreamed;
-    exchange->latency = Clock::now() - exchange->started;
-    connection.stream.LimitUnsentBytes();
-    streaming_limit_.BeginTransfer();
-    exchange->response_head = parser.TakeHead();
-    exchange->events.on_response_head(exchange->response_head);
-    if (connection.exchange != exchange) return;  // the callback cancelled the exchange
+    if (body_unwanted) return End(*exchange, Code::kResponse, parser.TakeHead());
+    if (!BeginStreaming(connection)) return;
   }
   if (exchange->streams_response()) {
     connection.max_read_bytes = streaming_limit_.read_size();
@@ -105,14 +101,29 @@
     UpdateBufferedBytes(*exchange, parser.HeldBytes());
   }
   if (parsed == ParseResult::kComplete) return FinishResponse(connection);
-  if (parser.message_started()) ArmResponseTimer(*exchange);
+  if (parser.message_started()) return ArmResponseTimer(*exchange);
+  exchange->response =
+      ResponseProgress::kNone;  // an interim response is complete, the next one has not begun
+  ArmTimer(*exchange, exchange->deadline);
+}
+
+// Passes on the head of a response whose body will be streamed. Returns false if that cancelled the exchange.
+bool RealServers::BeginStreaming(ServerConnection& connection) {
+  ServerExchange& exchange = *connection.exchange;
+  exchange.response = ResponseProgress::kStreamed;
+  exchange.latency = Clock::now() - exchange.started;
+  connection.stream.LimitUnsentBytes();
+  streaming_limit_.BeginTransfer();
+  exchange.response_head = connection.parser.TakeHead();
+  exchange.events.on_response_head(exchange.response_head);
+  return connection.exchange == &exchange;
 }
 
 // Arms the timer for the next part of the response.
 void RealServers::ArmResponseTimer(ServerExchange& exchange) {
   switch (exchange.response) {
     case ResponseProgress::kStreamed:
-      if (!exchange.paused) exchange.timer.Start(kStreamStallTimeout);
+      if (!exchange.paused) exchange.timer.Start(StreamStallTimeout(exchange));
       return;
     case ResponseProgress::kHeld:         // further parts do not extend the hold time
     case ResponseProgress::kBodyAwaited:  // nor the exchange's own time
@@ -126,20 +137,35 @@
   ArmTimer(exchange, Clock::now() + (holds ? kResponseHoldTime : kResponseStallTimeout));
 }
 
-// A response without a length may end soon, or else can be streamed.
+// A response that may still turn out short has to end, whole or visibly cut, about in its time.
+Span RealServers::StreamStallTimeout(const ServerExchange& exchange) {
+  const bool is_long =
+      exchange.response_head.content_length || exchange.use.received_bytes > kMaxBufferedBody;
+  if (is_long) return kStreamStallTimeout;
+  return std::max<Span>(exchange.deadline - Clock::now(), Span::zero()) + kShortStreamStallTime;
+}
+
+// A response that is too long to be buffered, or may be, is streamed if it is not complete soon.
 bool RealServers::MayHoldResponse(const ServerExchange& exchange) const {
   const HttpParser& parser = exchange.connection->parser;
-  const bool length_unknown = parser.head_complete() && !parser.message().content_length;
-  return length_unknown && parser.message().status == 200 && exchange.events.on_response_head;
+  const bool may_be_long =
+      parser.head_complete() && (!parser.message().content_length || parser.is_streaming());
+  return may_be_long && parser.message().status == 200 && exchange.events.on_response_head;
 }
 
-// The response is not complete within its hold time: streams it. Without any of its body there is nothing to
-// pass on yet, and the time of the exchange goes on as if nothing had arrived.
+// The response is not complete within its hold time: streams it. The head of a long one is passed on without
+// its body, which may begin much later. One without a length that has no body yet may still be short: the
+// time of the exchange goes on as if nothing had arrived.
 void RealServers::EndHold(ServerExchange& exchange) {
+  ServerConnection& connection = *exchange.connection;
+  const bool is_long = connection.parser.is_streaming();
   exchange.response = ResponseProgress::kBodyAwaited;
-  exchange.connection->parser.StartStreaming();
-  if (!exchange.connection->parser.message().body.empty()) {
-    return OnResponseProgress(*exchange.connection, ParseResult::kIncomplete);
+  connection.parser.StartStreaming();
+  if (!connection.parser.message().body.empty())
+    return OnResponseProgress(connection, ParseResult::kIncomplete);
+  if (is_long) {
+    if (BeginStreaming(connection)) ArmResponseTimer(exchange);
+    return;
   }
   counters_.Add("answers_without_body_yet");
   ArmTimer(exchange, exchange.deadline);
@@ -166,6 +192,7 @@
   ++connection.responses;
   Message response = connection.parser.Take();
   if (exchange.streams_response()) response = std::move(exchange.response_head);
+  if (exchange.paused) connection.stream.Read();  // the next exchange on it is read at once
   if (response.keep_alive && !connection.excess_data) idle_.Add(std::move(exchange.connection));
   End(exchange, Code::kResponse, std::move(response));
 }
--- a/src/server/server_exchange.h
+++ b/src/server/server_exchange.h
@@ -21,7 +21,7 @@
 enum class ResponseProgress {
   kNone,         // nothing
   kBuffered,     // a part, which is buffered until the response is complete
-  kHeld,         // the same, of a response without a length: buffered for kResponseHoldTime at most
+  kHeld,         // the same, of a response without a length or a long one: for kResponseHoldTime at most
   kBodyAwaited,  // the head of a response without a length that was held in vain: its body will be streamed
   kStreamed,     // the head and part of the body have been passed on
 };
--- a/tests/net/long_body_process_test.cpp
+++ b/tests/net/long_body_process_test.cpp
@@ -18,6 +18,10 @@
                       const std::string sockets = "\"sockets\":1024";
                       *config = Replaced(*config, sockets,
                                          "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
+                      const std::string classes = "\"request_classes\":[";
+                      *config =
+                          Replaced(*config, classes, classes + R"({"name":"unsafe","semantics":"side_effect",
+                                         "target_us":1500000,"hard_limit_us":4000000,"points":2},)");
                     }),
         paced(loop) {
     REQUIRE(loop.RunUntil([this] { return watch != nullptr; }, 5s));
@@ -98,5 +102,51 @@
   CHECK_FALSE(site.process->Ended().has_value());
 }
 
+// Fails if the time limit that an interim response started goes on for the final one.
+TEST_CASE("a final response long after an interim response in two parts is passed on", "[long]") {
+  LongBodySite site(32);
+  site.paced.on_request = [&](PacedServer::Peer& peer) {
+    peer.Write("HTTP/1.1 102 Proces");
+    site.After(100ms, [&peer] { peer.Write("sing\r\n\r\n"); });
+    site.After(900ms, [&peer] { peer.Write(WriteResponse(200, {}, "whole", true)); });
+  };
+  const Message answer = site.Ask(Hand("unsafe"));
+  CHECK(answer.status == 200);
+  CHECK(answer.body == "whole");
+  CHECK(site.paced.requests == 1);
+}
+
+// Fails if a client waits for seconds for a short response that has fallen silent.
+TEST_CASE("a response without a length that falls silent is cut soon after its time", "[long]") {
+  constexpr Span kTime = 2500ms;
+  LongBodySite site(32);
+  site.paced.on_request = [](PacedServer::Peer& peer) {
+    peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nr\r\n");
+  };
+  PacedClient client(site.loop, *ParseAddress(site.listen_address), Look("2500", "silent"), 0);
+  REQUIRE(site.loop.RunUntil([&] { return client.ended_at.has_value(); }, 8s));
+  CHECK(*client.ended_at - *client.written_at < kTime + kGrace);
+}
+
+// Fails if a connection on which reading has paused for a slow client is used again without being read.
+TEST_CASE("a connection whose response made its client lag carries the next request", "[long]") {
+  LongBodySite site(32);
+  site.paced.on_request = [](PacedServer::Peer& peer) {
+    const bool first = *peer.request.Find("X-Request-ID") == "lag";
+    peer.Write(WriteResponse(200, {}, std::string(first ? 3'400'000 : 2, 'r'), true));
+  };
+  for (int i = 0; i < 12; ++i) {
+    PacedClient slow(site.loop, *ParseAddress(site.listen_address), Look("2500", "lag"), 0);
+    slow.reads = false;
+    site.Wait(60ms + i * 1ms);
+    slow.stream.Read();
+    REQUIRE(site.loop.RunUntil([&] { return slow.received > 3'400'000; }, 8s));
+    site.Wait(40ms);
+    const int before = site.paced.requests;
+    CHECK(Settled(site.Ask(Look("2500", "next" + std::to_string(i))).status));
+    CHECK(site.paced.requests <= before + 1);
+  }
+}
+
 }  // namespace
 }  // namespace umberdyke::net
