Send nothing for a client whose close may lie unseen behind unread bytes

Cause: FindFlowWithClient relies on POLLRDHUP, and a kernel without space for more bytes does not get the close that lies behind them. Class: a check that is only as good as a buffer is empty. Evidence: the test with a server that fails after 0.7 s; where it answers, the answer resets the connection of the client that has left, which is seen.

Change: while reading is paused with 32 kB unread or more for over 50 ms, nothing is sent for that connection; its requests are refused as never sent. Clients that send one request at a time never get there, unless the memory for long bodies runs out.

--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -27,7 +27,11 @@
 constexpr int kFloodRequests = 256;
 constexpr Span kFloodInterval = 1ms;
 constexpr size_t kMaxClientSendBuffer = 2'621'440;  // what a client's kernel holds; Linux on loopback
-constexpr size_t kMaxIdleInputCapacity = 1024;      // kept for the next input
+// A client's kernel holds its close back behind bytes for which this one has no space. With less unread than
+// this there is space.
+constexpr size_t kMinHidingBytes = 32 * 1024;
+constexpr Span kMaxHiddenTime = 50ms;           // nothing is sent for clients that have left for 100 ms
+constexpr size_t kMaxIdleInputCapacity = 1024;  // kept for the next input
 
 }  // namespace
 
@@ -101,6 +105,16 @@
   if (!held_back_ || far_from_end) earliest_body_end_ = Clock::now();
 }
 
+void EdgeConnection::NoteVisibleClose() {
+  if (stream_.UnreadBytes() < kMinHidingBytes) close_visible_at_ = Clock::now();
+}
+
+bool EdgeConnection::MayHideClose() const {
+  const bool paused = input_paused_ || body_paused_;
+  return paused && stream_.UnreadBytes() >= kMinHidingBytes &&
+         Clock::now() - close_visible_at_ > kMaxHiddenTime;
+}
+
 // Reading pauses, as the server lags.
 void EdgeConnection::HoldBodyBack() {
   UpdateEarliestBodyEnd();
@@ -141,6 +155,7 @@
   if (state_ == State::kLingering) return;
   last_activity_ = Clock::now();
   input_.append(bytes);
+  NoteVisibleClose();
   if (!parse_pending_) ParseInput();
   if (stream_.open()) ReadUnlessEnoughInput();
   UpdateHeldBytes();
@@ -436,6 +451,7 @@
   }
   if (InputBufferFull()) {
     if (ClientGone()) return owner_.OnClosed(*this, EdgeCloseCause::kClientClosed);
+    NoteVisibleClose();
     timeout_.Start(kClosePollInterval);
     if (state_ == State::kStreamingBody) HoldBodyBack();
     return;
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -99,6 +99,8 @@
   bool HasPipelinedInput() const { return stream_.open() && (!input_.empty() || !stream_.ReadWouldBlock()); }
   // Whether the client has disconnected, even if unread bytes precede its close. No other check is reliable.
   bool ClientGone() const { return !stream_.open() || stream_.PeerClosed(); }
+  // Whether the client may have disconnected unseen: so much is unread that its close may lie behind that.
+  bool MayHideClose() const;
   // Also stops the timer: after its deferred destruction begins, the loop may still run timers that are due.
   void Close();
   bool idle() const { return state_ == State::kReading && !parser_.message_started() && input_.empty(); }
@@ -127,6 +129,7 @@
   void UpdateHeldBytes();
   void UpdateStreamedBytes();
   void UpdateEarliestBodyEnd();
+  void NoteVisibleClose();
   void HoldBodyBack();
   void ResumeBody();
   void DropInput();
@@ -174,9 +177,10 @@
   bool timeout_deferred_ = false;      // the timeout fired while input was unread
   bool has_responded_ = false;
   Time last_activity_ = Clock::now();
-  Time body_deadline_{};      // for the rest of the request body
-  bool body_paused_ = false;  // the body is not read
-  bool held_back_ = false;    // reading of the body has paused, and not caught up since
+  Time close_visible_at_ = Clock::now();  // when a close by the client would last have been seen
+  Time body_deadline_{};                  // for the rest of the request body
+  bool body_paused_ = false;              // the body is not read
+  bool held_back_ = false;                // reading of the body has paused, and not caught up since
   Time earliest_body_end_{};
   Timer timeout_;
   Timer parse_timer_;
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -68,7 +68,10 @@
 // Called right before any part of an attempt is sent.
 const Flow* Sidecar::FindFlowWithClient(FlowId id) {
   const Flow* flow = flows_.Find(id);
-  return flow != nullptr && !flow->edge->ClientGone() ? flow : nullptr;
+  if (flow == nullptr || flow->edge->ClientGone()) return nullptr;
+  if (!flow->edge->MayHideClose()) return flow;
+  counters_.Add("sends_for_hidden_client");
+  return nullptr;
 }
 
 void Sidecar::SendAttempt(FlowId id, ServerId server, std::optional<Span> time_out,
