Refuse an id that comes again after its client has left, at both processes of a replacement

What happened: a request of a keyed or unsafe class ran up to 7 times when its id came again after its client had left, and up to 3 times across the two processes of a replacement.

Cause: FlowTable knows an id while its flow is open; the flow ends with its client, the server's work does not. The other process knew nothing of it. Class: an identity that is forgotten before the effects that it names are over. Evidence: the tests' servers count each id; counter requests_of_recent_id.

Two processes of a replacement announce what they send on the handover's link before the first byte (version 2 of its protocol; a process of an older release is met in version 1), and take in what is there before they admit a request. Once answered, an id is free as before.

--- a/src/flow/admit.cpp
+++ b/src/flow/admit.cpp
@@ -14,10 +14,13 @@
 
 Flow* FlowAdmission::operator()(EdgeConnection& edge, FlowRequest request) const {
   // Real servers identify requests by id: if forwarded, this one could get the other request's response.
-  if (flows_.Has(request.id)) {
-    counters_.Add("requests_of_open_id");
+  const bool is_open = flows_.Has(request.id);
+  if (is_open || repeat_guard_.Blocks(HashRequestId(request.id))) {
+    counters_.Add(is_open ? "requests_of_open_id" : "requests_of_recent_id");
     on_invalid_request_(request.request_class);
-    edge.SendResponse(Platform::BadRequestResponse({409, "a request with this id is open"}), false);
+    const std::string reason =
+        is_open ? "a request with this id is open" : "a request with this id may have run already";
+    edge.SendResponse(Platform::BadRequestResponse({409, reason}), false);
     return nullptr;
   }
   Flow& flow = flows_.Add(std::move(request));
--- a/src/flow/admit.h
+++ b/src/flow/admit.h
@@ -6,6 +6,7 @@
 
 #include "counters/counters.h"
 #include "flow/flow.h"
+#include "flow/repeat_guard.h"
 
 namespace umberdyke::net {
 
@@ -13,15 +14,17 @@
  public:
   using DeadlineCallback = std::function<void(FlowId)>;
   using InvalidRequestCallback = std::function<void(int request_class)>;
-  FlowAdmission(Loop& loop, FlowTable& flows, Counters& counters, DeadlineCallback on_deadline,
-                InvalidRequestCallback on_invalid_request)
+  FlowAdmission(Loop& loop, FlowTable& flows, RepeatGuard& repeat_guard, Counters& counters,
+                DeadlineCallback on_deadline, InvalidRequestCallback on_invalid_request)
       : loop_(loop),
         flows_(flows),
+        repeat_guard_(repeat_guard),
         counters_(counters),
         on_deadline_(std::move(on_deadline)),
         on_invalid_request_(std::move(on_invalid_request)) {}
-  // Returns null, after responding with 409, if another open flow has the same request id. The deadline timer
-  // starts at once, or in OnBodyReceived if the request has a streaming body.
+  // Returns null, after responding with 409, if a request with the same id is open, or may have run and must
+  // not run again. The deadline timer starts at once, or in OnBodyReceived if the request has a streaming
+  // body.
   Flow* operator()(EdgeConnection& edge, FlowRequest request) const;
   void OnBodyReceived(Flow& flow) const;
   // The client may have written all of a streaming body, which is not read on: the time of the request runs
@@ -33,6 +36,7 @@
  private:
   Loop& loop_;
   FlowTable& flows_;
+  RepeatGuard& repeat_guard_;
   Counters& counters_;
   void StartDeadlineTimer(Flow& flow) const;
 
--- a/src/flow/book.cpp
+++ b/src/flow/book.cpp
@@ -60,6 +60,7 @@
   std::unique_ptr<Flow> flow = flows_.Remove(id);
   if (flow == nullptr) return;
   log_.OnFlowEnd(*flow, end, cause);
+  repeat_guard_.OnFlowEnd(*flow, end, attempt_sender_.HasWrittenAttempt(id));
   metrics_.CountFlow(flow->request.request_class, end,
                      metrics_.records_latency() ? Clock::now() - flow->received : Span(0));
   flow->deadline_timer->Stop();
--- a/src/flow/book.h
+++ b/src/flow/book.h
@@ -7,6 +7,7 @@
 #include "flow/decisions.h"
 #include "flow/flow.h"
 #include "flow/flow_log.h"
+#include "flow/repeat_guard.h"
 #include "flow/send.h"
 #include "flow/tally.h"
 
@@ -15,14 +16,17 @@
 class FlowRecorder {
  public:
   FlowRecorder(Loop& loop, FlowTable& flows, const Platform& platform, Decisions& decisions,
-               FlowMetrics& metrics, Counters& counters, const FlowLog& log)
+               FlowMetrics& metrics, Counters& counters, const FlowLog& log,
+               const AttemptSender& attempt_sender, RepeatGuard& repeat_guard)
       : loop_(loop),
         flows_(flows),
         platform_(platform),
         decisions_(decisions),
         metrics_(metrics),
         counters_(counters),
-        log_(log) {}
+        log_(log),
+        attempt_sender_(attempt_sender),
+        repeat_guard_(repeat_guard) {}
 
   // Logs the attempt and updates the flow's state; `flow`: null if it has already ended.
   void RecordAttemptEnd(Flow* flow, const AttemptResult& result) const;
@@ -41,6 +45,8 @@
   FlowMetrics& metrics_;
   Counters& counters_;
   const FlowLog log_;
+  const AttemptSender& attempt_sender_;
+  RepeatGuard& repeat_guard_;
 };
 
 }  // namespace umberdyke::net
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -99,6 +99,13 @@
   done_({flow, attempt, cancelled.server, outcome, Clock::now() - cancelled.sent, {}, exchange.use});
 }
 
+bool AttemptSender::HasWrittenAttempt(FlowId flow) const {
+  for (auto it = attempts_.lower_bound({flow, 0}); it != attempts_.end() && it->first.first == flow; ++it) {
+    if (servers_.IsWritten(it->second.exchange)) return true;
+  }
+  return false;
+}
+
 void AttemptSender::CancelUnsent(FlowId flow) {
   std::vector<int> unsent;
   for (auto it = attempts_.lower_bound({flow, 0}); it != attempts_.end() && it->first.first == flow; ++it) {
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -60,6 +60,8 @@
   void Cancel(FlowId flow, int attempt);
   // The client is gone: cancels the attempts whose request is not fully written.
   void CancelUnsent(FlowId flow);
+  // Whether a server has the whole request in an attempt that has not ended.
+  bool HasWrittenAttempt(FlowId flow) const;
   size_t in_flight() const { return attempts_.size(); }
   static Outcome OutcomeOf(const ExchangeResult& end);
 
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -16,12 +16,24 @@
 using namespace std::chrono_literals;
 
 // The messages of the protocol. A process of another version, or another program, sends something else.
-constexpr std::string_view kListenerRequest = "umberdyke listener 1\n";
+// Version 2 announces requests on the link, in both directions; version 1 sends nothing but kServingMessage.
+constexpr int kSilentVersion = 1;
+constexpr int kAnnouncingVersion = 2;
 constexpr std::string_view kListenerReply = "given\n";
 constexpr char kServingMessage = 'S';
+constexpr char kRequestMessage = 'R';  // followed by the hash of a request's id, in the machine's byte order
+constexpr size_t kHashBytes = sizeof(std::uint64_t);
 constexpr std::chrono::microseconds kReplyTimeout = 500ms;  // for a predecessor that does not answer
 constexpr int kMaxSuccessors = 8;
 
+std::string ListenerRequest(int version) { return "umberdyke listener " + std::to_string(version) + "\n"; }
+
+std::string RequestRecord(std::uint64_t id_hash) {
+  std::string record(1 + kHashBytes, kRequestMessage);
+  std::memcpy(record.data() + 1, &id_hash, kHashBytes);
+  return record;
+}
+
 std::string SocketPath(const std::string& folder, const Address& listen) {
   if (folder.empty()) return "";
   std::string name = PrintAddress(listen);
@@ -102,8 +114,32 @@
   std::unique_ptr<FdWatcher> link;
   bool has_socket = false;
   bool serves = false;
+  bool announces = false;  // it speaks kAnnouncingVersion
+  HandoverRecords records;
 };
 
+bool HandoverRecords::Feed(std::string_view bytes, const Handlers& handlers) {
+  partial_.append(bytes);
+  size_t at = 0;
+  while (at < partial_.size()) {
+    const char kind = partial_[at];
+    if (kind == kServingMessage) {
+      ++at;
+      handlers.on_serving();
+    } else if (kind == kRequestMessage) {
+      if (partial_.size() - at < 1 + kHashBytes) break;
+      std::uint64_t id_hash = 0;
+      std::memcpy(&id_hash, partial_.data() + at + 1, kHashBytes);
+      at += 1 + kHashBytes;
+      handlers.on_request(id_hash);
+    } else {
+      return false;
+    }
+  }
+  partial_.erase(0, at);
+  return true;
+}
+
 Handover::Handover(Loop& loop, const std::string& folder, const Address& listen, Counters& counters,
                    Owner owner)
     : loop_(loop),
@@ -121,7 +157,13 @@
   return std::any_of(successors_.begin(), successors_.end(), [](const auto& s) { return s->serves; });
 }
 
+// A predecessor of an older release refuses the newer request.
 std::optional<int> Handover::RequestListener() {
+  const std::optional<int> listener = RequestListener(kAnnouncingVersion);
+  return listener ? listener : RequestListener(kSilentVersion);
+}
+
+std::optional<int> Handover::RequestListener(int version) {
   const auto address = UnixAddress(path_);
   if (!address) return std::nullopt;
   const int link = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -130,22 +172,59 @@
   timeout.tv_usec = kReplyTimeout.count();
   setsockopt(link, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
   setsockopt(link, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
-  const bool sent = connect(link, AsSockaddr(*address), sizeof *address) == 0 && IsSameUser(link) &&
-                    send(link, kListenerRequest.data(), kListenerRequest.size(), MSG_NOSIGNAL) ==
-                        static_cast<ssize_t>(kListenerRequest.size());
+  const std::string request = ListenerRequest(version);
+  const bool sent =
+      connect(link, AsSockaddr(*address), sizeof *address) == 0 && IsSameUser(link) &&
+      send(link, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size());
   const int listener = sent ? ReceiveSocket(link) : -1;
   if (listener < 0 || !IsListeningAt(listener, listen_)) {
-    if (sent) counters_.Add("handover_not_given");
+    if (sent && version == kSilentVersion) counters_.Add("handover_not_given");
     if (listener >= 0) close(listener);
     close(link);
     return std::nullopt;
   }
   counters_.Add("handover_taken");
-  predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorExit(); });
+  predecessor_announces_ = version == kAnnouncingVersion;
+  predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(); });
   return listener;
 }
 
-// A predecessor sends nothing after its reply, so a readable connection means that it has exited.
+void Handover::AnnounceRequest(std::uint64_t id_hash) {
+  const std::string record = RequestRecord(id_hash);
+  const auto announce = [&](int fd) {
+    const ssize_t sent = send(fd, record.data(), record.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent != static_cast<ssize_t>(record.size())) counters_.Add("handover_untold");
+  };
+  if (predecessor_ != nullptr && predecessor_announces_) announce(predecessor_->fd());
+  for (const auto& successor : successors_) {
+    if (successor->has_socket && successor->announces) announce(successor->link->fd());
+  }
+}
+
+void Handover::ReceiveAnnouncements() {
+  if (predecessor_ != nullptr) OnPredecessorMessage();
+  std::vector<Successor*> broken;
+  for (const auto& successor : successors_) {
+    if (successor->has_socket && !ReceiveFrom(*successor)) broken.push_back(successor.get());
+  }
+  for (Successor* successor : broken) Remove(*successor);
+  if (!broken.empty()) owner_.on_change();
+}
+
+// A predecessor of version 1 sends nothing after its reply, so what can be read there is its exit.
+void Handover::OnPredecessorMessage() {
+  char text[4096];
+  ssize_t got = 0;
+  while ((got = recv(predecessor_->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
+    const HandoverRecords::Handlers handlers{[] {}, owner_.on_request_sent};
+    const bool valid =
+        predecessor_announces_ && predecessor_records_.Feed({text, static_cast<size_t>(got)}, handlers);
+    if (!valid) return OnPredecessorExit();
+  }
+  const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  if (!open) OnPredecessorExit();
+}
+
 void Handover::OnPredecessorExit() {
   loop_.DestroyLater(std::move(predecessor_));
   owner_.on_change();
@@ -192,26 +271,52 @@
 }
 
 void Handover::OnSuccessorMessage(Successor& successor) {
-  char text[64];
-  const ssize_t got = recv(successor.link->fd(), text, sizeof text, MSG_DONTWAIT);
-  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
-  const std::string_view received(text, got > 0 ? static_cast<size_t>(got) : 0);
-  bool valid = false;
-  if (!successor.has_socket && received == kListenerRequest) {
-    const int listener = owner_.listener_fd();
-    valid = successor.has_socket = listener >= 0 && SendSocket(successor.link->fd(), listener);
-    counters_.Add(valid ? "handover_given" : "handover_refused");
-  } else if (successor.has_socket && !successor.serves && received == std::string_view(&kServingMessage, 1)) {
-    valid = successor.serves = true;
-  }
-  if (!valid) {  // it has exited or violates the protocol
-    const auto it = std::find_if(successors_.begin(), successors_.end(),
-                                 [&](const auto& s) { return s.get() == &successor; });
-    std::unique_ptr<Successor> removed = std::move(*it);
-    successors_.erase(it);
-    loop_.DestroyLater(std::move(removed));
+  const bool served = successor.serves;
+  const bool had_socket = successor.has_socket;
+  if (!ReceiveFrom(successor)) {  // it has exited or violates the protocol
+    Remove(successor);
+  } else if (successor.serves == served && successor.has_socket == had_socket) {
+    return;
   }
   owner_.on_change();
 }
 
+void Handover::Remove(Successor& successor) {
+  const auto it = std::find_if(successors_.begin(), successors_.end(),
+                               [&](const auto& s) { return s.get() == &successor; });
+  std::unique_ptr<Successor> removed = std::move(*it);
+  successors_.erase(it);
+  loop_.DestroyLater(std::move(removed));
+}
+
+// Takes in what the successor has sent. Returns false if it has exited or violates the protocol.
+bool Handover::ReceiveFrom(Successor& successor) {
+  char text[4096];
+  ssize_t got = 0;
+  while ((got = recv(successor.link->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
+    const std::string_view received(text, static_cast<size_t>(got));
+    const bool valid =
+        successor.has_socket
+            ? successor.records.Feed(received, {[&] { successor.serves = true; }, owner_.on_request_sent})
+            : PassListener(successor, received);
+    if (!valid) return false;
+  }
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+bool Handover::PassListener(Successor& successor, std::string_view request) {
+  successor.announces = request == ListenerRequest(kAnnouncingVersion);
+  const bool is_request = successor.announces || request == ListenerRequest(kSilentVersion);
+  const int listener = is_request ? owner_.listener_fd() : -1;
+  successor.has_socket = listener >= 0 && SendSocket(successor.link->fd(), listener);
+  counters_.Add(successor.has_socket ? "handover_given" : "handover_refused");
+  if (!successor.has_socket || !successor.announces) return successor.has_socket;
+  std::string records;
+  for (const std::uint64_t id_hash : owner_.sent_requests()) records += RequestRecord(id_hash);
+  const ssize_t sent =
+      send(successor.link->fd(), records.data(), records.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  // A record that is cut off would make the next ones unreadable.
+  return sent == static_cast<ssize_t>(records.size());
+}
+
 }  // namespace umberdyke::net
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -8,10 +8,12 @@
 #ifndef UMBERDYKE_HANDOVER_HANDOVER_H_
 #define UMBERDYKE_HANDOVER_HANDOVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "counters/counters.h"
@@ -19,11 +21,29 @@
 
 namespace umberdyke::net {
 
+// Cuts what arrives on a link into records: a kind of one byte and, for an announced request, its hash.
+class HandoverRecords {
+ public:
+  struct Handlers {
+    std::function<void()> on_serving;
+    std::function<void(std::uint64_t id_hash)> on_request;
+  };
+  // Returns false if the bytes are no records.
+  bool Feed(std::string_view bytes, const Handlers& handlers);
+
+ private:
+  std::string partial_;  // the beginning of a record
+};
+
 class Handover {
  public:
   struct Owner {
     std::function<int()> listener_fd;  // the socket to pass, or -1 if there is none now
     std::function<void()> on_change;   // the other process has connected, serves or has exited
+    // Requests are told by a hash of their ids: those that must not run again, for a successor that takes
+    // over, and the call for one that the other process sends.
+    std::function<std::vector<std::uint64_t>()> sent_requests;
+    std::function<void(std::uint64_t)> on_request_sent;
   };
   // If `folder` is empty, handover is disabled in both directions.
   Handover(Loop& loop, const std::string& folder, const Address& listen, Counters& counters, Owner owner);
@@ -36,6 +56,11 @@
   // successors. Returns an empty string, or why successors cannot request it.
   std::string OfferListener();
 
+  // Tells the other processes that this one sends a request. Call it before the first byte is sent.
+  void AnnounceRequest(std::uint64_t id_hash);
+  // Takes in what the other processes have announced so far.
+  void ReceiveAnnouncements();
+
   bool has_predecessor() const { return predecessor_ != nullptr; }  // it runs and has passed its socket
   bool has_serving_successor() const;                               // it runs, has the socket and serves
   bool has_other_process() const { return has_predecessor() || !successors_.empty(); }
@@ -44,7 +69,12 @@
   struct Successor;
   void OnConnection();
   void OnSuccessorMessage(Successor& has_serving_successor);
+  std::optional<int> RequestListener(int version);
+  void OnPredecessorMessage();
   void OnPredecessorExit();
+  bool ReceiveFrom(Successor& successor);
+  bool PassListener(Successor& successor, std::string_view request);
+  void Remove(Successor& successor);
   std::string PathError() const;
 
   Loop& loop_;
@@ -55,6 +85,8 @@
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   std::unique_ptr<FdWatcher> offer_;
   std::unique_ptr<FdWatcher> predecessor_;
+  bool predecessor_announces_ = false;  // it speaks the version of the protocol that announces requests
+  HandoverRecords predecessor_records_;
   std::vector<std::unique_ptr<Successor>> successors_;
   bool offered_ = false;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -43,13 +43,14 @@
       streaming_limit_(config_.memory),
       request_limit_(config_.memory, kRequestMemoryDivisor),
       response_limit_(config_.memory, kResponseMemoryDivisor),
+      repeat_guard_(config_.settings),
       server_list_(counters_, [this](const ServerListEvent& c) { OnListChange(c); }),
       servers_(loop, RealServerLimits(config_), streaming_limit_, response_limit_, counters_, *log_),
       decisions_(loop, config_, counters_, *this),
       request_intake_(platform_, counters_,
                       [this](int request_class) { flow_recorder_.CountInvalidRequest(request_class); }),
       flow_admission_(
-          loop, flows_, counters_, [this](FlowId flow) { OnFinalDeadline(flow); },
+          loop, flows_, repeat_guard_, counters_, [this](FlowId flow) { OnFinalDeadline(flow); },
           [this](int request_class) { flow_recorder_.CountInvalidRequest(request_class); }),
       attempt_router_(server_list_, config_.settings),
       attempt_sender_(
@@ -69,7 +70,7 @@
            }}),
       response_writer_(platform_, config_.settings, counters_),
       flow_recorder_(loop, flows_, platform_, decisions_, metrics_, counters_,
-                     FlowLog(*log_, server_list_, config_.class_names)),
+                     FlowLog(*log_, server_list_, config_.class_names), attempt_sender_, repeat_guard_),
       listener_(loop, [this] { AcceptConnection(); }),
       edge_limit_(MaxEdgeConnections(config_)),
       start_timer_(loop, [this] { StartServing(); }),
@@ -122,7 +123,9 @@
   if (!config_.console) return StartWithoutPredecessor();
   handover_ = std::make_unique<Handover>(
       loop_, config_.runtime_folder, config_.listen, counters_,
-      Handover::Owner{[this] { return listener_.fd(); }, [this] { OnHandoverChange(); }});
+      Handover::Owner{[this] { return listener_.fd(); }, [this] { OnHandoverChange(); },
+                      [this] { return SentRequests(); },
+                      [this](RequestIdHash id) { repeat_guard_.OnSentElsewhere(id); }});
   inherited_listener_ = handover_->RequestListener();
   if (!inherited_listener_) return StartWithoutPredecessor();
   log_->Say(Event::kTakingOver, config_.name + " takes over from a serving process", {});
@@ -165,6 +168,23 @@
     counters_.Add("handover_not_offered");
 }
 
+// Those that must not run again: ended ones that may have run, and open ones that are being sent.
+std::vector<RequestIdHash> Sidecar::SentRequests() {
+  std::vector<RequestIdHash> ids = repeat_guard_.Remembered();
+  flows_.ForEach([&](const Flow& flow) {
+    if (flow.attempts > 0 && repeat_guard_.Applies(flow.request.request_class))
+      ids.push_back(HashRequestId(flow.request.id));
+  });
+  return ids;
+}
+
+// Before the first byte is sent, so that the client can't have come to the other process with it before.
+void Sidecar::AnnounceRequest(const Flow& flow) {
+  if (!handover_ || !handover_->has_other_process() || !repeat_guard_.Applies(flow.request.request_class))
+    return;
+  handover_->AnnounceRequest(HashRequestId(flow.request.id));
+}
+
 // While two processes of a sidecar run, each holds half of its limits.
 void Sidecar::OnHandoverChange() {
   const bool shared = handover_->has_other_process();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -14,6 +14,7 @@
 #include "flow/decisions.h"
 #include "flow/flow.h"
 #include "flow/relay.h"
+#include "flow/repeat_guard.h"
 #include "flow/route.h"
 #include "flow/send.h"
 #include "flow/take_in.h"
@@ -107,6 +108,8 @@
   void StartWithoutPredecessor();
   void StartServing();
   void OnHandoverChange();
+  std::vector<RequestIdHash> SentRequests();
+  void AnnounceRequest(const Flow& flow);
   void ShedEdgesDownTo(int edges);
   void CloseIdleEdges();
   // Whether the connection closes after its next response. In a process that shuts down, a connection with
@@ -134,6 +137,7 @@
   MessageBufferLimit request_limit_;
   MessageBufferLimit response_limit_;
   FlowTable flows_;
+  RepeatGuard repeat_guard_;
   ServerList server_list_;
   std::unique_ptr<MemberSource> source_;
   std::unique_ptr<PeerExchange> peers_;  // if the settings allow it
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -19,6 +19,7 @@
   std::optional<FlowRequest> request =
       request_intake_(edge, std::move(message), long_body, ready, ClosesAfterResponse(edge));
   if (!request) return;
+  if (handover_ && handover_->has_other_process()) handover_->ReceiveAnnouncements();
   Flow* flow = flow_admission_(edge, std::move(*request));
   if (flow == nullptr) return;
   if (long_body && edge.body_received()) flow_admission_.OnBodyReceived(*flow);
@@ -86,6 +87,7 @@
   if (zone_watch_ && zone_watch_->IsBlocked(server)) counters_.Add("sent_to_closed_zone");
   if (flow != nullptr && flow->receiving_body) flow->deadline = Clock::now() + flow->request.time_left;
   const auto routed = flow == nullptr ? std::nullopt : attempt_router_(*flow, server, time_out, send_within);
+  if (routed && attempt == 0) AnnounceRequest(*flow);
   if (routed) return attempt_sender_(*flow, attempt, *routed);
   flow_recorder_.ReportAttempt({id, attempt, server, Outcome::kNotSent, {}, {}, {}}, flow == nullptr);
 }
