Give an address to the newest server listed there, and treat the one before as gone

What happened: a keyed request that a server may have run was repeated at a new server of another zone that had come up at the same address, as the list still named the old one; it ran twice.

Cause: ServerList kept every id with its address until the list told its end, which comes seconds after a process dies. Class: a name resolved to a place that has changed hands. Evidence: the test's server at that address counts two runs; with the old one told as gone it counts one, before the change too.

Idle connections to an earlier process of a server are closed when its new start is listed.

Measured: "a keyed request is not repeated ..." and "a server whose address another one has taken over ..." failed before and pass; 112 network tests and 17 of membership pass.

--- a/src/flow/route.cpp
+++ b/src/flow/route.cpp
@@ -24,7 +24,7 @@
 
 bool AttemptRouter::AcceptsNewWork(ServerId server) const {
   const ServerRecord* record = server_list_.Find(server);
-  if (record == nullptr || record->address.ss_family == AF_UNSPEC) return false;
+  if (record == nullptr || record->superseded || record->address.ss_family == AF_UNSPEC) return false;
   return record->state == UpstreamState::kReady ||
          (settings_.only_draining_binds && record->state == UpstreamState::kGone);
 }
--- a/src/membership/server_list.h
+++ b/src/membership/server_list.h
@@ -22,6 +22,7 @@
   std::string id;
   Address address{};
   UpstreamState state = UpstreamState::kReady;
+  bool superseded = false;          // another server has taken over its address: nothing may be sent there
   Time gone_at{};                   // when it was removed from the list
   std::int64_t closed_version = 0;  // list version in which it drains or is gone; 0 while ready
   ListedServer last_listed;         // the last entry for it
@@ -33,6 +34,7 @@
   struct Entry {
     ServerId server;
     ListedServer listed;
+    bool restarted = false;  // it is another process than the one listed before
   };
   std::vector<Entry> entries;
   std::string error;        // for kFailed only
@@ -68,12 +70,16 @@
 
  private:
   void SetState(ServerId server, UpstreamState state, std::int64_t version);
+  // Gives each address to one of the servers that are listed there, and adds the others to `change` as gone.
+  void ResolveAddresses(std::int64_t version, ServerListEvent* change);
+  void Supersede(ServerId server, std::int64_t version, ServerListEvent* change);
 
   Counters& counters_;
   const ChangeCallback on_change_;
   std::unordered_map<ServerId, ServerRecord> servers_;
   std::unordered_map<std::string, ServerId> ids_by_name_;
   std::unordered_map<IncarnationHash, ServerId> ready_by_incarnation_;  // ready servers only
+  std::unordered_map<std::string, ServerId> id_by_address_;             // by the bytes of the address
   ServerId next_id_ = 0;                                                // ids are never reused
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -234,9 +234,10 @@
       if (inherited_listener_ || can_start) StartServing();
     });
   }
-  // A server that is leaving gets no new requests: idle connections to it only hold descriptors.
+  // A server that is leaving gets no new requests: idle connections to it only hold descriptors. Those to an
+  // earlier process of a server are of no use either.
   for (const ServerListEvent::Entry& entry : change.entries) {
-    if (!attempt_router_.AcceptsNewWork(entry.server)) servers_.CloseIdle(entry.server);
+    if (entry.restarted || !attempt_router_.AcceptsNewWork(entry.server)) servers_.CloseIdle(entry.server);
   }
 }
 
