Count a client that has left as its answer is written among those without an answer

Cause: RepeatGuard took a request as answered where the answer was written to a connection that its client had already closed. Class: an answer that is written is not an answer that is received. Evidence: a test that closes the client as the server answers: 32 of 120 ids ran twice, with answers of 200 and of 500.

Change: where the client has closed by the time the request ends, its id is remembered as for one that left before.

--- a/src/flow/repeat_guard.cpp
+++ b/src/flow/repeat_guard.cpp
@@ -10,10 +10,11 @@
 
 // A request that is safe to repeat may only not be in flight twice, where its attempt can't be cancelled.
 void RepeatGuard::OnFlowEnd(const Flow& flow, FlowEnd end, bool running) {
-  if (end != FlowEnd::kClientGone) return;  // once answered, the id is free
+  const bool answered = end != FlowEnd::kClientGone && !flow.edge->ClientGone();
+  if (answered) return;  // the id is free
   const RequestIdHash id = HashRequestId(flow.request.id);
   if (Applies(flow.request.request_class)) {
-    if (running || flow.may_have_run) Remember(id, Clock::now() + kMemory);
+    if (running || flow.may_have_run || end == FlowEnd::kServed) Remember(id, Clock::now() + kMemory);
   } else if (running && !settings_.may_cancel && !settings_.parallel_attempts) {
     Remember(id, flow.deadline);
   }
--- a/tests/net/departed_client_process_test.cpp
+++ b/tests/net/departed_client_process_test.cpp
@@ -66,5 +66,32 @@
   CHECK(runs == 1);
 }
 
+// Fails if an answer that is written to a client that has just left makes its id free.
+TEST_CASE("an id whose client leaves as its answer is written is not run twice", "[departed]") {
+  const int status = GENERATE(200, 500);
+  CAPTURE(status);
+  ProcessSite site("id-crossing", [](std::string* config) {
+    *config = Replaced(*config, "\"semantics\":\"token\",\"group\":\"all\"", "\"semantics\":\"side_effect\"");
+  });
+  std::map<std::string, int> runs;
+  std::unique_ptr<Client> first;
+  site.server.script = [&](Party::Peer& peer) {
+    ++runs[*peer.last.Find("X-Request-ID")];
+    if (first != nullptr) first->stream.Close();
+    peer.Answer(status, "");
+  };
+  for (int i = 0; i < 60; ++i) {
+    const std::string id = "crossing" + std::to_string(i);
+    const std::string request = Replaced(Hand("any"), "b2", id);
+    first = std::make_unique<Client>(site.loop, *ParseAddress(site.listen_address));
+    first->Send(request);
+    REQUIRE(site.loop.RunUntil([&] { return runs[id] == 1 || !first->answers.empty(); }, 5s));
+    site.Wait(10ms);
+    first.reset();
+    site.Ask(request);
+    CHECK(runs[id] <= 1);
+  }
+}
+
 }  // namespace
 }  // namespace umberdyke::net
