Name the header of the streaming buffer limit after its class

Need: room.h said nothing of what it holds.

Change: src/passing/room.h is src/passing/streaming_buffer_limit.h; nothing else.

--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -12,7 +12,7 @@
 #include "http1/http.h"
 #include "loop/loop.h"
 #include "passing/message_buffer_limit.h"
-#include "passing/room.h"
+#include "passing/streaming_buffer_limit.h"
 
 namespace umberdyke::net {
 
--- a/src/passing/room.h
+++ b/src/passing/streaming_buffer_limit.h
@@ -3,8 +3,8 @@
 // A transfer is one streaming body in one direction. All transfers share a quarter of the memory by dynamic
 // thresholds: a transfer may hold as much as is free at the moment, so that a few may hold much, and many
 // hold about the same each. What a transfer holds already is kept when others begin.
-#ifndef UMBERDYKE_PASSING_ROOM_H_
-#define UMBERDYKE_PASSING_ROOM_H_
+#ifndef UMBERDYKE_PASSING_STREAMING_BUFFER_LIMIT_H_
+#define UMBERDYKE_PASSING_STREAMING_BUFFER_LIMIT_H_
 
 #include <algorithm>
 #include <cstddef>
@@ -56,4 +56,4 @@
 
 }  // namespace umberdyke::net
 
-#endif  // UMBERDYKE_PASSING_ROOM_H_
+#endif  // UMBERDYKE_PASSING_STREAMING_BUFFER_LIMIT_H_
--- a/src/server/connection.h
+++ b/src/server/connection.h
@@ -8,7 +8,7 @@
 #include "http1/http.h"
 #include "loop/loop.h"
 #include "membership/server_list.h"
-#include "passing/room.h"
+#include "passing/streaming_buffer_limit.h"
 
 namespace umberdyke::net {
 
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -16,7 +16,7 @@
 #include "loop/loop.h"
 #include "membership/server_list.h"
 #include "passing/message_buffer_limit.h"
-#include "passing/room.h"
+#include "passing/streaming_buffer_limit.h"
 #include "server/connection.h"
 #include "server/idle_connections.h"
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -26,7 +26,7 @@
 #include "membership/server_list.h"
 #include "membership/source.h"
 #include "passing/message_buffer_limit.h"
-#include "passing/room.h"
+#include "passing/streaming_buffer_limit.h"
 #include "platform/platform.h"
 #include "server/real_server.h"
 #include "sidecar/edge_shedding.h"
--- a/tests/passing/passing_test.cpp
+++ b/tests/passing/passing_test.cpp
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "net/site.h"
-#include "passing/room.h"
+#include "passing/streaming_buffer_limit.h"
 
 namespace umberdyke::net {
 namespace {
