--- a/tests/net/crowd_memory_process_test.cpp
+++ b/tests/net/crowd_memory_process_test.cpp
@@ -86,7 +86,8 @@
   const bool slow = kind == Kind::kSlowlyReadRequests || kind == Kind::kMixed;
   paced.bytes_per_second = slow ? 100'000 : 0;
   paced.on_request = [&](PacedServer::Peer& peer) {
-    const bool is_regular = peer.request.Find("X-Request-ID")->starts_with("regular");
+    const std::string* id = peer.request.Find("X-Request-ID");  // probes have none
+    const bool is_regular = id == nullptr || id->starts_with("regular");
     const bool is_long = !is_regular && (kind == Kind::kUnreadResponses || kind == Kind::kMixed);
     peer.Write(WriteResponse(200, {}, std::string(is_long ? 2'000'000 : 2, 'r'), true));
   };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -154,7 +154,8 @@
 
   void Serve(PacedServer::Peer& peer) {
     const std::string* header = peer.request.Find("X-Request-ID");
-    const std::string id = header == nullptr ? "" : *header;
+    if (header == nullptr) return peer.Write(WriteResponse(200, {}, "", true));  // a probe
+    const std::string id = *header;
     runs_[id].push_back({Clock::now(), *peer.request.Find("X-Priority-Class")});
     const Span work = std::chrono::milliseconds(draw_.Between(5, 150));
     const int kind = draw_.Between(0, 19);
