Log crashes with their place, the links between processes, and the start of closing

- handover-link: role, state and pid of the other process at each change, and whether its end was found by the link's own event or as a request came; counters handover_links_ended and handover_ends_before_request.
- closing-begins: clients and open flows at the end of the grace period.
- The buckets of the rate limit are counted from the events instead of by hand.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -52,11 +52,44 @@
 
 const sockaddr* AsSockaddr(const sockaddr_un& address) { return reinterpret_cast<const sockaddr*>(&address); }
 
-// Sockets are exchanged only between processes of the same user.
-bool IsSameUser(int fd) {
+std::optional<ucred> PeerOf(int fd) {
   ucred peer{};
   socklen_t size = sizeof peer;
-  return getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == geteuid();
+  return getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 ? std::optional(peer) : std::nullopt;
+}
+
+// Sockets are exchanged only between processes of the same user.
+bool IsSameUser(int fd) {
+  const std::optional<ucred> peer = PeerOf(fd);
+  return peer && peer->uid == geteuid();
+}
+
+// 0 if the system does not tell.
+pid_t PeerPid(int fd) {
+  const std::optional<ucred> peer = PeerOf(fd);
+  return peer ? peer->pid : 0;
+}
+
+std::string_view NameOf(HandoverRole role) {
+  return role == HandoverRole::kPredecessor ? "predecessor" : "successor";
+}
+
+std::string_view NameOf(HandoverLinkState state) {
+  switch (state) {
+    case HandoverLinkState::kConnected:
+      return "connected";
+    case HandoverLinkState::kListenerPassed:
+      return "listener passed";
+    case HandoverLinkState::kListenerRefused:
+      return "listener refused";
+    case HandoverLinkState::kServing:
+      return "serving";
+    case HandoverLinkState::kEnded:
+      return "ended";
+    case HandoverLinkState::kEndedBeforeRequest:
+      break;
+  }
+  return "ended, found as a request came";
 }
 
 bool IsListeningAt(int fd, const Address& address) {
@@ -112,6 +145,7 @@
 
 struct Handover::Successor {
   std::unique_ptr<FdWatcher> link;
+  pid_t pid = 0;
   bool has_socket = false;
   bool serves = false;
   bool announces = false;  // it speaks kAnnouncingVersion
@@ -141,11 +175,12 @@
 }
 
 Handover::Handover(Loop& loop, const std::string& folder, const Address& listen, Counters& counters,
-                   Owner owner)
+                   log::Log& log, Owner owner)
     : loop_(loop),
       path_(SocketPath(folder, listen)),
       listen_(listen),
       counters_(counters),
+      log_(log),
       owner_(std::move(owner)) {}
 
 // A serving successor has put its own socket at this path, which must stay.
@@ -185,7 +220,10 @@
   }
   counters_.Add("handover_taken");
   predecessor_announces_ = version == kAnnouncingVersion;
-  predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(); });
+  predecessor_ =
+      std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(HandoverLinkState::kEnded); });
+  predecessor_pid_ = PeerPid(link);
+  LogLink(HandoverRole::kPredecessor, HandoverLinkState::kListenerPassed, predecessor_pid_);
   return listener;
 }
 
@@ -202,34 +240,46 @@
 }
 
 void Handover::ReceiveAnnouncements() {
-  if (predecessor_ != nullptr) OnPredecessorMessage();
+  if (predecessor_ != nullptr) OnPredecessorMessage(HandoverLinkState::kEndedBeforeRequest);
   std::vector<Successor*> broken;
   for (const auto& successor : successors_) {
     if (successor->has_socket && !ReceiveFrom(*successor)) broken.push_back(successor.get());
   }
-  for (Successor* successor : broken) Remove(*successor);
+  for (Successor* successor : broken) Remove(*successor, HandoverLinkState::kEndedBeforeRequest);
   if (!broken.empty()) owner_.on_change();
 }
 
 // A predecessor of version 1 sends nothing after its reply, so what can be read there is its exit.
-void Handover::OnPredecessorMessage() {
+void Handover::OnPredecessorMessage(HandoverLinkState end_state) {
   char text[4096];
   ssize_t got = 0;
   while ((got = recv(predecessor_->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
     const HandoverRecords::Handlers handlers{[] {}, owner_.on_request_sent};
     const bool valid =
         predecessor_announces_ && predecessor_records_.Feed({text, static_cast<size_t>(got)}, handlers);
-    if (!valid) return OnPredecessorExit();
+    if (!valid) return OnPredecessorExit(end_state);
   }
   const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-  if (!open) OnPredecessorExit();
+  if (!open) OnPredecessorExit(end_state);
 }
 
-void Handover::OnPredecessorExit() {
+void Handover::OnPredecessorExit(HandoverLinkState end_state) {
+  LogLink(HandoverRole::kPredecessor, end_state, predecessor_pid_);
   loop_.DestroyLater(std::move(predecessor_));
   owner_.on_change();
 }
 
+void Handover::LogLink(HandoverRole role, HandoverLinkState state, pid_t pid) {
+  const bool ended_before_request = state == HandoverLinkState::kEndedBeforeRequest;
+  if (ended_before_request || state == HandoverLinkState::kEnded) counters_.Add("handover_links_ended");
+  if (ended_before_request) counters_.Add("handover_ends_before_request");
+  const std::string role_name(NameOf(role));
+  const std::string state_name(NameOf(state));
+  log_.Say(log::Event::kHandoverLink,
+           "link to the " + role_name + ", process " + std::to_string(pid) + ": " + state_name,
+           {{"role", role_name}, {"state", state_name}, {"pid", std::int64_t{pid}}, {"us", MicrosNow()}});
+}
+
 std::string Handover::OfferListener() {
   if (predecessor_ != nullptr) {
     const char serving = kServingMessage;
@@ -266,7 +316,9 @@
   auto successor = std::make_unique<Successor>();
   Successor& added = *successor;
   added.link = std::make_unique<FdWatcher>(loop_, fd, [this, &added] { OnSuccessorMessage(added); });
+  added.pid = PeerPid(fd);
   successors_.push_back(std::move(successor));
+  LogLink(HandoverRole::kSuccessor, HandoverLinkState::kConnected, added.pid);
   owner_.on_change();
 }
 
@@ -274,14 +326,15 @@
   const bool served = successor.serves;
   const bool had_socket = successor.has_socket;
   if (!ReceiveFrom(successor)) {  // it has exited or violates the protocol
-    Remove(successor);
+    Remove(successor, HandoverLinkState::kEnded);
   } else if (successor.serves == served && successor.has_socket == had_socket) {
     return;
   }
   owner_.on_change();
 }
 
-void Handover::Remove(Successor& successor) {
+void Handover::Remove(Successor& successor, HandoverLinkState end_state) {
+  LogLink(HandoverRole::kSuccessor, end_state, successor.pid);
   const auto it = std::find_if(successors_.begin(), successors_.end(),
                                [&](const auto& s) { return s.get() == &successor; });
   std::unique_ptr<Successor> removed = std::move(*it);
@@ -291,14 +344,17 @@
 
 // Takes in what the successor has sent. Returns false if it has exited or violates the protocol.
 bool Handover::ReceiveFrom(Successor& successor) {
+  const auto on_serving = [&] {
+    successor.serves = true;
+    LogLink(HandoverRole::kSuccessor, HandoverLinkState::kServing, successor.pid);
+  };
   char text[4096];
   ssize_t got = 0;
   while ((got = recv(successor.link->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
     const std::string_view received(text, static_cast<size_t>(got));
-    const bool valid =
-        successor.has_socket
-            ? successor.records.Feed(received, {[&] { successor.serves = true; }, owner_.on_request_sent})
-            : PassListener(successor, received);
+    const bool valid = successor.has_socket
+                           ? successor.records.Feed(received, {on_serving, owner_.on_request_sent})
+                           : PassListener(successor, received);
     if (!valid) return false;
   }
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
@@ -310,6 +366,9 @@
   const int listener = is_request ? owner_.listener_fd() : -1;
   successor.has_socket = listener >= 0 && SendSocket(successor.link->fd(), listener);
   counters_.Add(successor.has_socket ? "handover_given" : "handover_refused");
+  const auto state =
+      successor.has_socket ? HandoverLinkState::kListenerPassed : HandoverLinkState::kListenerRefused;
+  LogLink(HandoverRole::kSuccessor, state, successor.pid);
   if (!successor.has_socket || !successor.announces) return successor.has_socket;
   std::string records;
   for (const std::uint64_t id_hash : owner_.sent_requests()) records += RequestRecord(id_hash);
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -8,6 +8,8 @@
 #ifndef UMBERDYKE_HANDOVER_HANDOVER_H_
 #define UMBERDYKE_HANDOVER_HANDOVER_H_
 
+#include <sys/types.h>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,10 +19,24 @@
 #include <vector>
 
 #include "counters/counters.h"
+#include "log/log.h"
 #include "loop/loop.h"
 
 namespace umberdyke::net {
 
+// What another process of the sidecar is to this one.
+enum class HandoverRole { kPredecessor, kSuccessor };
+
+// The states of the link to another process, for the log.
+enum class HandoverLinkState {
+  kConnected,
+  kListenerPassed,
+  kListenerRefused,
+  kServing,             // the successor serves clients
+  kEnded,               // found by an event of the link
+  kEndedBeforeRequest,  // found as a request was admitted
+};
+
 // Cuts what arrives on a link into records: a kind of one byte and, for an announced request, its hash.
 class HandoverRecords {
  public:
@@ -46,7 +62,8 @@
     std::function<void(std::uint64_t)> on_request_sent;
   };
   // If `folder` is empty, handover is disabled in both directions.
-  Handover(Loop& loop, const std::string& folder, const Address& listen, Counters& counters, Owner owner);
+  Handover(Loop& loop, const std::string& folder, const Address& listen, Counters& counters, log::Log& log,
+           Owner owner);
   ~Handover();
 
   // Requests the listening socket from a predecessor, which the caller then owns; nullopt if there is none.
@@ -68,23 +85,26 @@
  private:
   struct Successor;
   void OnConnection();
-  void OnSuccessorMessage(Successor& has_serving_successor);
+  void OnSuccessorMessage(Successor& successor);
   std::optional<int> RequestListener(int version);
-  void OnPredecessorMessage();
-  void OnPredecessorExit();
+  void OnPredecessorMessage(HandoverLinkState end_state);
+  void OnPredecessorExit(HandoverLinkState end_state);
   bool ReceiveFrom(Successor& successor);
   bool PassListener(Successor& successor, std::string_view request);
-  void Remove(Successor& successor);
+  void Remove(Successor& successor, HandoverLinkState end_state);
+  void LogLink(HandoverRole role, HandoverLinkState state, pid_t pid);
   std::string PathError() const;
 
   Loop& loop_;
   const std::string path_;
   const Address listen_;
   Counters& counters_;
+  log::Log& log_;
   const Owner owner_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
   std::unique_ptr<FdWatcher> offer_;
   std::unique_ptr<FdWatcher> predecessor_;
+  pid_t predecessor_pid_ = 0;
   bool predecessor_announces_ = false;  // it speaks the version of the protocol that announces requests
   HandoverRecords predecessor_records_;
   std::vector<std::unique_ptr<Successor>> successors_;
--- a/src/lab/common/process.cpp
+++ b/src/lab/common/process.cpp
@@ -62,6 +62,7 @@
   if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return ended_;
   pid_ = -1;
   ended_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+  end_signal_ = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
   return ended_;
 }
 
--- a/src/lab/common/process.h
+++ b/src/lab/common/process.h
@@ -31,10 +31,13 @@
   int Descriptors() const;
   // Its exit status once it has ended; 128 where a signal ended it.
   std::optional<int> Ended();
+  // The signal that ended it; 0 while it runs, or if it exited.
+  int EndSignal() const { return end_signal_; }
 
  private:
   pid_t pid_ = -1;
   std::optional<int> ended_;
+  int end_signal_ = 0;
 };
 
 // What this process holds in memory now, in millions of bytes.
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -52,6 +52,8 @@
       {Event::kFlowUnserved, "flow-unserved", Level::kInfo, true},
       {Event::kClientClosed, "client-closed", Level::kDebug, false},
       {Event::kMemoryLimit, "memory-limit", Level::kWarning, true},
+      {Event::kHandoverLink, "handover-link", Level::kInfo, true},
+      {Event::kClosingBegins, "closing-begins", Level::kInfo, false},
   };
   return kinds;
 }
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -58,7 +59,10 @@
   kFlowUnserved,
   kClientClosed,
   kMemoryLimit,
+  kHandoverLink,
+  kClosingBegins,
 };
+constexpr size_t kEventCount = static_cast<size_t>(Event::kClosingBegins) + 1;
 enum class Level { kDebug, kInfo, kWarning, kError };
 
 struct EventKind {
@@ -89,7 +93,7 @@
     Time refilled_at{};
     std::uint64_t held_back = 0;
   };
-  std::array<Bucket, 48> buckets_{};
+  std::array<Bucket, kEventCount> buckets_{};
 };
 
 }  // namespace umberdyke::log
--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -11,6 +11,7 @@
 #include "config/config.h"
 #include "config/sidecar_file.h"
 #include "files/files.h"
+#include "log/fatal_signal.h"
 #include "log/log.h"
 #include "loop/loop.h"
 #include "sidecar/sidecar.h"
@@ -93,6 +94,7 @@
 int Serve(const Options& options, const net::Environment& environment) {
   const net::Config config = net::LoadConfig(environment);
   const auto log = log::StderrLog(FormatOf(options, config), LevelOf(options, config), config.name);
+  log::ReportFatalSignals(FormatOf(options, config), config.name);
   net::Loop loop;
   net::Sidecar sidecar(loop, config, log);
   const auto shutdown = [&] { sidecar.Shutdown([&] { loop.Stop(); }); };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -122,7 +122,7 @@
 void Sidecar::Start() {
   if (!config_.console) return StartWithoutPredecessor();
   handover_ = std::make_unique<Handover>(
-      loop_, config_.runtime_folder, config_.listen, counters_,
+      loop_, config_.runtime_folder, config_.listen, counters_, *log_,
       Handover::Owner{[this] { return listener_.fd(); }, [this] { OnHandoverChange(); },
                       [this] { return SentRequests(); },
                       [this](RequestIdHash id) { repeat_guard_.OnSentElsewhere(id); }});
@@ -450,6 +450,12 @@
 
 void Sidecar::StartClosing() {
   closing_ = true;
+  const auto clients = static_cast<std::int64_t>(edges_.size());
+  const auto open_flows = static_cast<std::int64_t>(flows_.size());
+  log_->Say(Event::kClosingBegins,
+            config_.name + " closes the connections of " + std::to_string(clients) + " clients; " +
+                std::to_string(open_flows) + " flows are open",
+            {{"clients", clients}, {"open_flows", open_flows}, {"us", MicrosNow()}});
   StopListening();
   std::vector<EdgeConnection*> edges;
   for (const auto& [edge, owned] : edges_) edges.push_back(edge);
--- a/tests/handover/cluster.h
+++ b/tests/handover/cluster.h
@@ -56,10 +56,10 @@
     text.replace(text.find("\"tier\":0"), 8, "\"tier\":1");
     if (change) change(&text);
     REQUIRE(files::WriteFileAtomically(file, text).empty());
-    processes.push_back(std::make_unique<lab::Process>(
-        std::vector<std::string>{"/usr/bin/env", "TMPDIR=" + (folder / run_folder).string(),
-                                 UMBERDYKE_PROGRAM, "--config", file},
-        file + ".log"));
+    std::vector<std::string> arguments = {"/usr/bin/env", "TMPDIR=" + (folder / run_folder).string(),
+                                          UMBERDYKE_PROGRAM, "--config", file};
+    arguments.insert(arguments.end(), options.begin(), options.end());
+    processes.push_back(std::make_unique<lab::Process>(arguments, file + ".log"));
     return number;
   }
   std::string Log(int number) const {  // empty until the process has written to it
@@ -111,6 +111,7 @@
   std::filesystem::path folder;
   std::string host;
   std::vector<std::unique_ptr<lab::Process>> processes;
+  std::vector<std::string> options;  // of the program, besides --config
   int requests_made = 0;
 };
 
