Deliver no event of a handover link once a request has found its end

Cause: AdmitRequest reads the links to other processes, so that ids sent there are known. Where it finds the end of a link, it removes the link by deferred destruction, which leaves its poll handle active to the end of the turn. The link's own event, received in the same poll, then runs OnPredecessorMessage with a null predecessor_, or removes a successor for the second time. The replaced process ends as it closes its clients' connections, so they come to the new one in that very millisecond.

Change: FdWatcher::Close stops the handle and drops an event that waits for delivery (uv_poll_stop takes the descriptor out of the batch); a removed link is closed at once. What a request has found is told from the loop, not inside AdmitRequest, where it could close the connection of that request; and a successor found to serve that way is told too, which its event did not do any more.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -220,8 +220,7 @@
   }
   counters_.Add("handover_taken");
   predecessor_announces_ = version == kAnnouncingVersion;
-  predecessor_ =
-      std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(HandoverLinkState::kEnded); });
+  predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(); });
   predecessor_pid_ = PeerPid(link);
   LogLink(HandoverRole::kPredecessor, HandoverLinkState::kListenerPassed, predecessor_pid_);
   return listener;
@@ -240,33 +239,49 @@
 }
 
 void Handover::ReceiveAnnouncements() {
-  if (predecessor_ != nullptr) OnPredecessorMessage(HandoverLinkState::kEndedBeforeRequest);
+  const bool served = has_serving_successor();
+  if (predecessor_ != nullptr && !ReceiveFromPredecessor()) {
+    RemovePredecessor(HandoverLinkState::kEndedBeforeRequest);
+    NotifyLater();
+  }
   std::vector<Successor*> broken;
   for (const auto& successor : successors_) {
     if (successor->has_socket && !ReceiveFrom(*successor)) broken.push_back(successor.get());
   }
   for (Successor* successor : broken) Remove(*successor, HandoverLinkState::kEndedBeforeRequest);
-  if (!broken.empty()) owner_.on_change();
+  // The events of the links find nothing new any more.
+  if (!broken.empty() || has_serving_successor() != served) NotifyLater();
+}
+
+// The owner is in the middle of a request, whose connection the change may close.
+void Handover::NotifyLater() {
+  loop_.Post(alive_, [this] { owner_.on_change(); });
 }
 
 // A predecessor of version 1 sends nothing after its reply, so what can be read there is its exit.
-void Handover::OnPredecessorMessage(HandoverLinkState end_state) {
+bool Handover::ReceiveFromPredecessor() {
+  const HandoverRecords::Handlers handlers{[] {}, owner_.on_request_sent};
   char text[4096];
   ssize_t got = 0;
   while ((got = recv(predecessor_->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
-    const HandoverRecords::Handlers handlers{[] {}, owner_.on_request_sent};
     const bool valid =
         predecessor_announces_ && predecessor_records_.Feed({text, static_cast<size_t>(got)}, handlers);
-    if (!valid) return OnPredecessorExit(end_state);
+    if (!valid) return false;
   }
-  const bool open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-  if (!open) OnPredecessorExit(end_state);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
 }
 
-void Handover::OnPredecessorExit(HandoverLinkState end_state) {
+void Handover::OnPredecessorMessage() {
+  if (ReceiveFromPredecessor()) return;
+  RemovePredecessor(HandoverLinkState::kEnded);
+  owner_.on_change();
+}
+
+// The link's event may have been received already in this turn, and must not be delivered any more.
+void Handover::RemovePredecessor(HandoverLinkState end_state) {
   LogLink(HandoverRole::kPredecessor, end_state, predecessor_pid_);
+  predecessor_->Close();
   loop_.DestroyLater(std::move(predecessor_));
-  owner_.on_change();
 }
 
 void Handover::LogLink(HandoverRole role, HandoverLinkState state, pid_t pid) {
@@ -339,6 +354,7 @@
                                [&](const auto& s) { return s.get() == &successor; });
   std::unique_ptr<Successor> removed = std::move(*it);
   successors_.erase(it);
+  removed->link->Close();
   loop_.DestroyLater(std::move(removed));
 }
 
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -75,7 +75,7 @@
 
   // Tells the other processes that this one sends a request. Call it before the first byte is sent.
   void AnnounceRequest(std::uint64_t id_hash);
-  // Takes in what the other processes have announced so far.
+  // Takes in what the other processes have announced so far. Calls on_change later, never inside this call.
   void ReceiveAnnouncements();
 
   bool has_predecessor() const { return predecessor_ != nullptr; }  // it runs and has passed its socket
@@ -87,8 +87,10 @@
   void OnConnection();
   void OnSuccessorMessage(Successor& successor);
   std::optional<int> RequestListener(int version);
-  void OnPredecessorMessage(HandoverLinkState end_state);
-  void OnPredecessorExit(HandoverLinkState end_state);
+  void OnPredecessorMessage();
+  bool ReceiveFromPredecessor();
+  void RemovePredecessor(HandoverLinkState end_state);
+  void NotifyLater();
   bool ReceiveFrom(Successor& successor);
   bool PassListener(Successor& successor, std::string_view request);
   void Remove(Successor& successor, HandoverLinkState end_state);
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -196,10 +196,11 @@
                 [](uv_poll_t* p, int, int) { static_cast<Handle*>(p->data)->callback(); });
 }
 
-FdWatcher::~FdWatcher() {
-  uv_poll_stop(&handle_->uv);
-  CloseHandle(handle_);
-  close(fd_);
+void FdWatcher::Close() {
+  if (handle_ == nullptr) return;
+  uv_poll_stop(&handle_->uv);  // also drops an event that waits for delivery
+  CloseHandle(std::exchange(handle_, nullptr));
+  close(std::exchange(fd_, -1));
 }
 
 std::optional<Address> ParseAddress(std::string_view text) {
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -130,17 +130,20 @@
 class FdWatcher {
  public:
   FdWatcher(Loop& loop, int fd, std::function<void()> callback);
-  ~FdWatcher();
+  ~FdWatcher() { Close(); }
   FdWatcher(const FdWatcher&) = delete;
   FdWatcher& operator=(const FdWatcher&) = delete;
-  int fd() const { return fd_; }
+  int fd() const { return fd_; }  // -1 once it is closed
+  // Closes the descriptor. The callback does not run any more, not even for an event that the loop has
+  // received already in this turn. May be called from the callback, and again.
+  void Close();
 
  private:
   struct Handle {
     uv_poll_t uv;
     std::function<void()> callback;
   };
-  const int fd_;
+  int fd_;
   Handle* handle_;
 };
 
