Let deferred destruction close an object first, for every type that it takes

Class of the fault before: an event that the loop has received already reaches an object that another event of the same turn has removed. Whether a type was safe rested on each caller: seven of fifteen removed objects had a running handle to the end of the turn, or were closed by a call that is easily forgotten.

Change: DestroyLater takes only types with Close(), which it calls itself (concept Closable); the callers' own calls go. Flow, ServerExchange, ServerConnection, Successor and five types of the lab get one, of what was written out at the callers before.

--- a/src/agent/console_client.cpp
+++ b/src/agent/console_client.cpp
@@ -92,7 +92,6 @@
   if (it == out_.end()) return;
   std::unique_ptr<Exchange> over = std::move(*it);
   out_.erase(it);
-  over->Close();
   const Done done = over->TakeDone();
   loop_.DestroyLater(std::move(over));
   loop_.Post(alive_, [this] { Next(); });
@@ -102,7 +101,6 @@
 void ConsoleClient::Drop() {
   waiting_.clear();
   for (auto& exchange : out_) {
-    exchange->Close();
     loop_.DestroyLater(std::move(exchange));
   }
   out_.clear();
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -159,7 +159,6 @@
   if (!INVARIANT(it != connections_.end(), counters_)) return;
   std::unique_ptr<Connection> removed = std::move(*it);
   connections_.erase(it);
-  removed->Close();
   loop_.DestroyLater(std::move(removed));
 }
 
--- a/src/flow/book.cpp
+++ b/src/flow/book.cpp
@@ -63,7 +63,6 @@
   repeat_guard_.OnFlowEnd(*flow, end, attempt_sender_.HasWrittenAttempt(id));
   metrics_.CountFlow(flow->request.request_class, end,
                      metrics_.records_latency() ? Clock::now() - flow->received : Span(0));
-  flow->deadline_timer->Stop();
   loop_.DestroyLater(std::move(flow));
 }
 
--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -41,6 +41,10 @@
   std::optional<int> passed_on;   // the attempt whose streaming response has begun to reach the client
   int unfit_status = 0;           // status of a real server that found the request invalid; 0: none
   std::unique_ptr<Timer> deadline_timer;
+
+  void Close() {
+    if (deadline_timer) deadline_timer->Stop();
+  }
 };
 
 class FlowTable {
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -144,6 +144,8 @@
 }  // namespace
 
 struct Handover::Successor {
+  void Close() { link->Close(); }
+
   std::unique_ptr<FdWatcher> link;
   pid_t pid = 0;
   bool has_socket = false;
@@ -277,10 +279,8 @@
   owner_.on_change();
 }
 
-// The link's event may have been received already in this turn, and must not be delivered any more.
 void Handover::RemovePredecessor(HandoverLinkState end_state) {
   LogLink(HandoverRole::kPredecessor, end_state, predecessor_pid_);
-  predecessor_->Close();
   loop_.DestroyLater(std::move(predecessor_));
 }
 
@@ -354,7 +354,6 @@
                                [&](const auto& s) { return s.get() == &successor; });
   std::unique_ptr<Successor> removed = std::move(*it);
   successors_.erase(it);
-  removed->link->Close();
   loop_.DestroyLater(std::move(removed));
 }
 
--- a/src/lab/coordinator/connection.h
+++ b/src/lab/coordinator/connection.h
@@ -82,9 +82,12 @@
   }
   void Drop() {
     if (!stream.open()) return;
+    Close();
+    owner_.Gone(this);
+  }
+  void Close() {
     timer_.Stop();
     stream.Close();
-    owner_.Gone(this);
   }
 
  private:
--- a/src/lab/coordinator/control.cpp
+++ b/src/lab/coordinator/control.cpp
@@ -138,9 +138,10 @@
   }
   void OnEnd() override {
     if (!stream.open()) return;
-    stream.Close();
+    Close();
     control_.Gone(this);
   }
+  void Close() { stream.Close(); }
   void OnWritten(bool ok) override {
     if (!ok) OnEnd();
   }
--- a/src/lab/coordinator/ensemble.cpp
+++ b/src/lab/coordinator/ensemble.cpp
@@ -171,7 +171,6 @@
   auto connection = std::make_unique<Connection>(*this, member);
   if (!connection->stream.Accept(at.listener)) return;
   if (at.faults.refuse || !majority_) {
-    connection->stream.Close();
     loop_.DestroyLater(std::move(connection));
     return;
   }
--- a/src/lab/fleet/measure.cpp
+++ b/src/lab/fleet/measure.cpp
@@ -177,6 +177,8 @@
     settings.session = 20000ms;
     return settings;
   }
+  void Close() { client.Stop(); }
+
   net::Counters counters;
   nodes::NodeClient client;
   std::unique_ptr<agent::Runner> runner;
--- a/src/lab/fleet/relay.cpp
+++ b/src/lab/fleet/relay.cpp
@@ -32,6 +32,7 @@
     ends_[0].stream.Read();
     return ends_[1].stream.Connect(target);
   }
+  void Close() { Close(false); }
   void Close(bool reset) {
     timer_.Stop();
     for (End& end : ends_) {
@@ -156,7 +157,6 @@
   if (it == pairs_.end()) return;
   std::unique_ptr<Pair> gone = std::move(*it);
   pairs_.erase(it);
-  gone->Close(false);
   loop_.DestroyLater(std::move(gone));
 }
 
--- a/src/lab/fleet/stand_ins.cpp
+++ b/src/lab/fleet/stand_ins.cpp
@@ -112,6 +112,7 @@
         stream.Write(owner.AnswerTo(parser.Take()));
     }
     void OnEnd() override { owner.Gone(this); }
+    void Close() { stream.Close(); }
     void OnWritten(bool ok) override {
       if (!ok) owner.Gone(this);
     }
@@ -129,7 +130,6 @@
     const auto it =
         std::find_if(callers_.begin(), callers_.end(), [&](const auto& c) { return c.get() == caller; });
     if (it == callers_.end()) return;
-    (*it)->stream.Close();
     loop_.DestroyLater(std::move(*it));
     callers_.erase(it);
   }
--- a/src/lab/membership/stand_in.cpp
+++ b/src/lab/membership/stand_in.cpp
@@ -169,7 +169,6 @@
 void StandIn::Crash() {
   waiting_.clear();
   for (auto& peer : peers_) {
-    peer->Close();
     loop_.DestroyLater(std::move(peer));
   }
   peers_.clear();
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -35,6 +35,11 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
 }
 
+// An object that gets events from the loop. After Close no event reaches it any more, not even one that the
+// loop has received already in this turn. Close may be called again.
+template <typename T>
+concept Closable = requires(T& object) { object.Close(); };
+
 class Loop {
  public:
   Loop();
@@ -60,10 +65,11 @@
   // Runs `task` after the loop has polled for input and output once more, so that other connections get their
   // turn before it. Drops it if `guard` has expired by then.
   void PostAfterPoll(std::weak_ptr<void> guard, std::function<void()> task);
-  // Deferred destruction: destroys `object` before the loop next waits, when none of its member functions can
-  // be on the stack. Its timers may still fire before that.
-  template <typename T>
+  // Deferred destruction: closes `object` now, and destroys it before the loop next waits, when none of its
+  // member functions can be on the stack.
+  template <Closable T>
   void DestroyLater(std::unique_ptr<T> object) {
+    object->Close();
     to_destroy_.push_back(std::shared_ptr<T>(std::move(object)));
   }
 
--- a/src/membership/discovery_source.cpp
+++ b/src/membership/discovery_source.cpp
@@ -273,7 +273,6 @@
            std::string("a call to discovery ended after ") + std::to_string(watch->AgeMs()) + " ms and " +
                std::to_string(watch->bytes()) + " bytes: " + why,
            {{"why", std::string(why)}, {"after_ms", watch->AgeMs()}, {"bytes", watch->bytes()}});
-  watch->Close();
   loop_.DestroyLater(std::move(watch));
 }
 
--- a/src/server/connection.h
+++ b/src/server/connection.h
@@ -44,6 +44,11 @@
   void OnEnd() override { owner.OnEnd(*this); }
   void OnWritten(bool success) override { owner.OnWritten(*this, success); }
   size_t MaxReadBytes() const override { return max_read_bytes; }
+  // Discards bytes that have not reached the server.
+  void Close() {
+    exchange = nullptr;
+    stream.Abort();
+  }
 
   ServerConnectionOwner& owner;
   const std::uint64_t id;
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -308,7 +308,6 @@
   const auto it = exchanges_.find(exchange.id);
   std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
-  ended->timer.Stop();
   const ConnectionUse use = UseOf(*ended);
   ReleaseConnection(*ended);
   const auto done = std::move(ended->events.on_done);
@@ -323,7 +322,6 @@
   if (it == exchanges_.end()) return std::nullopt;
   std::unique_ptr<ServerExchange> ended = std::move(it->second);
   exchanges_.erase(it);
-  ended->timer.Stop();
   ReleaseBufferSpace(*ended);
   const CancelledExchange cancelled{ended->written, UseOf(*ended)};
   ReleaseConnection(*ended);
@@ -395,8 +393,6 @@
 }
 
 void RealServers::Destroy(std::unique_ptr<ServerConnection> connection) {
-  connection->stream.Abort();
-  connection->exchange = nullptr;
   --open_connections_;
   loop_.DestroyLater(std::move(connection));
 }
--- a/src/server/server_exchange.h
+++ b/src/server/server_exchange.h
@@ -30,6 +30,7 @@
   ServerExchange(Loop& loop, ExchangeId i, const std::function<void(ExchangeId)>& on_timeout)
       : id(i), timer(loop, [on_timeout, i] { on_timeout(i); }) {}
 
+  void Close() { timer.Stop(); }
   bool streams_response() const { return response == ResponseProgress::kStreamed; }
 
   const ExchangeId id;
--- a/src/zookeeper/node_client.cpp
+++ b/src/zookeeper/node_client.cpp
@@ -126,7 +126,6 @@
 
 void NodeClient::CloseConnection() {
   if (stream_ == nullptr) return;
-  stream_->Close();
   loop_.DestroyLater(std::move(stream_));
   stream_.reset();
   buffer_.clear();
