Draw no probe from a list that has emptied while a request waits for its probes

Cause: OnProbeResult goes on probing without looking at the list again; ProbeTwo draws Below(0). Draw and PickFallback are reached only through Pick, which looks.

--- a/src/decide/choice.cpp
+++ b/src/decide/choice.cpp
@@ -465,6 +465,7 @@
       const std::vector<int>& candidates = i % 2 > 0 || local_ready_.empty() ? ready_ : local_ready_;
       const std::vector<int>& pool =
           i > 1 || last_successful_upstreams_.empty() ? candidates : last_successful_upstreams_;
+      if (pool.empty()) continue;  // the list may have emptied since the first probes
       const int u = pool[random_.Below(static_cast<int>(pool.size()))];
       if (SkipByWeight(upstreams_[u]) || !Allowed(u, active) || Contains(active.probing.probed, u)) continue;
       active.probing.probed.push_back(u);
--- a/tests/decide/choice_test.cpp
+++ b/tests/decide/choice_test.cpp
@@ -1277,6 +1277,45 @@
   }
 }
 
+// Fails if a list that empties while a request waits for its probes makes the balancer draw from no upstream.
+TEST(SparseTrafficTest, TheListMayEmptyAndRefillWhileARequestWaitsForItsProbes) {
+  int emptied_during_probes = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto chance = [&](int percent) {
+      return std::uniform_int_distribution<int>(1, 100)(random) <= percent;
+    };
+    Settings s = SparseTrafficSettings();
+    s.check_price = 0;
+    Driver d(s, seed);
+    d.UpdateList(ReadyUpstreams(80));
+    const auto loaded = [](UpstreamId) { return 6.0; };
+    RunSparseRequests(&d, 60, 300'000, loaded);
+    const RequestId first = 1, last = 40;
+    for (RequestId id = first; id <= last; ++id) {
+      d.Arrive(id);
+      if (chance(50)) {
+        emptied_during_probes += d.pending_checks.empty() ? 0 : 1;
+        d.UpdateList({});
+      }
+      for (int round = 0; round < 4; ++round) d.AnswerChecks(loaded);
+      if (chance(80)) d.UpdateList(ReadyUpstreams(chance(50) ? 80 : 3));
+      d.Advance(100'000);
+      while (!d.in_flight.empty()) d.EndAttempt(0, Outcome::kOk, 6);
+      d.Advance(200'000);
+    }
+    d.UpdateList(ReadyUpstreams(80));
+    for (int i = 0; i < 70; ++i) {
+      d.Advance(100'000);
+      d.AnswerChecks(loaded);
+      while (!d.in_flight.empty()) d.EndAttempt(0, Outcome::kOk, 6);
+    }
+    for (RequestId id = first; id <= last; ++id) EXPECT_EQ(d.final_answers[id], 1) << id;
+  }
+  EXPECT_GT(emptied_during_probes, 100);
+}
+
 // The balancer's own zone is overloaded and the others are idle. With sparse traffic it learns of them by
 // probing and sends part of its requests there, although it starts with upstreams of its own zone only.
 TEST(SparseTrafficTest, OtherZonesAreProbedWhileTheOwnZoneIsOverloaded) {
