Give every call on a closed stream a defined result

Read, Write, EndSending, ReadWouldBlock and PeerClosed went through the freed handle of a stream that is closed; each caller had to look first. The five copies of the look-up of a stream's descriptor become one.

Result: "a closed stream does nothing and says so" ended the test program by SIGSEGV before, and passes.

--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -244,6 +244,7 @@
 }
 
 bool Stream::Connect(const Address& to) {
+  if (handle_ == nullptr) return false;
   auto request = std::make_unique<uv_connect_t>();
   const int status = uv_tcp_connect(request.get(), &handle_->uv, reinterpret_cast<const sockaddr*>(&to),
                                     [](uv_connect_t* r, int failed) {
@@ -258,6 +259,7 @@
 }
 
 bool Stream::Accept(Listener& listener) {
+  if (handle_ == nullptr) return false;
   const std::optional<int> fd = listener.Accept();
   if (!fd) return false;
   if (uv_tcp_open(&handle_->uv, *fd) != 0) {
@@ -269,6 +271,7 @@
 }
 
 void Stream::Read() {
+  if (handle_ == nullptr) return;
   uv_read_start(
       reinterpret_cast<uv_stream_t*>(&handle_->uv),
       [](uv_handle_t* h, size_t, uv_buf_t* buffer) {
@@ -295,6 +298,7 @@
 }
 
 Stream::WriteResult Stream::Write(std::string bytes) {
+  if (handle_ == nullptr) return WriteResult::kFailed;
   auto* stream = reinterpret_cast<uv_stream_t*>(&handle_->uv);
   uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
   const int written = uv_try_write(stream, &buffer, 1);
@@ -314,25 +318,30 @@
   return WriteResult::kQueued;
 }
 
-bool Stream::ReadWouldBlock() const {
+std::optional<int> Stream::Descriptor() const {
   uv_os_fd_t fd = -1;
+  if (handle_ == nullptr) return std::nullopt;
+  const bool has_one = uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0;
+  return has_one ? std::optional<int>(fd) : std::nullopt;
+}
+
+bool Stream::ReadWouldBlock() const {
+  const std::optional<int> fd = Descriptor();
   char byte = 0;
-  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return false;
-  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (!fd) return false;
+  return recv(*fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 size_t Stream::UnreadBytes() const {
-  uv_os_fd_t fd = -1;
+  const std::optional<int> fd = Descriptor();
   int bytes = 0;
-  const bool open =
-      handle_ != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0;
-  return open && ioctl(fd, SIOCINQ, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+  return fd && ioctl(*fd, SIOCINQ, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
 }
 
 bool Stream::PeerClosed() const {
-  uv_os_fd_t fd = -1;
-  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return false;
-  pollfd poll_fd{fd, POLLRDHUP, 0};
+  const std::optional<int> fd = Descriptor();
+  if (!fd) return handle_ == nullptr;
+  pollfd poll_fd{*fd, POLLRDHUP, 0};
   return poll(&poll_fd, 1, 0) > 0 && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
@@ -343,12 +352,11 @@
 }
 
 void Stream::LimitUnsentBytes() {
-  uv_os_fd_t fd = -1;
+  const std::optional<int> fd = Descriptor();
   const int limit = 64 * 1024;
-  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0) {
-    setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit,
-               sizeof limit);  // on failure the kernel only buffers more
-  }
+  if (!fd) return;
+  setsockopt(*fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &limit,
+             sizeof limit);  // on failure the kernel buffers more
 }
 
 void Stream::Reset() {
@@ -360,6 +368,7 @@
 }
 
 void Stream::EndSending() {
+  if (handle_ == nullptr) return;
   auto request = std::make_unique<uv_shutdown_t>();
   const int status =
       uv_shutdown(request.get(), reinterpret_cast<uv_stream_t*>(&handle_->uv),
@@ -375,11 +384,9 @@
 }
 
 bool Stream::HasUnackedBytes() const {
-  uv_os_fd_t fd = -1;
+  const std::optional<int> fd = Descriptor();
   int bytes = 0;
-  const bool open =
-      handle_ != nullptr && uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0;
-  return open && ioctl(fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return fd && ioctl(*fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 void Stream::Abort() { HasUnackedBytes() ? Reset() : Close(); }
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -38,7 +38,9 @@
 // An object that gets events from the loop. After Close no event reaches it any more, not even one that the
 // loop has received already in this turn. Close may be called again.
 template <typename T>
-concept Closable = requires(T& object) { object.Close(); };
+concept Closable = requires(T& object) {
+  object.Close();
+};
 
 class Loop {
  public:
@@ -176,6 +178,8 @@
   ~StreamCallbacks() = default;
 };
 
+// On a stream that is closed each call does nothing: Connect, Accept and Write fail, and the peer counts as
+// closed.
 class Stream {
  public:
   Stream(Loop& loop, StreamCallbacks* callbacks);
@@ -221,6 +225,7 @@
     StreamCallbacks* callbacks;
     bool closed_cleanly = false;
   };
+  std::optional<int> Descriptor() const;
   Handle* handle_;
 };
 
--- a/tests/net/exchange_end_test.cpp
+++ b/tests/net/exchange_end_test.cpp
@@ -51,5 +51,30 @@
   CHECK(exchanges.ends[1] == ExchangeResult::Code::kNotSent);
 }
 
+// Fails if a stream that its owner has closed meanwhile is read or written through its freed handle.
+TEST_CASE("a closed stream does nothing and says so", "[exchange]") {
+  Loop loop;
+  struct Ignore : StreamCallbacks {
+    void OnData(std::string_view) override {}
+    void OnEnd() override {}
+  } ignore;
+  Stream stream(loop, &ignore);
+  stream.Close();
+  stream.Read();
+  stream.Pause();
+  stream.EndSending();
+  stream.LimitUnsentBytes();
+  CHECK(stream.Write("x") == Stream::WriteResult::kFailed);
+  CHECK_FALSE(stream.Connect(*ParseAddress("127.0.0.1:1")));
+  CHECK_FALSE(stream.ReadWouldBlock());
+  CHECK(stream.PeerClosed());
+  CHECK(stream.UnreadBytes() == 0);
+  CHECK(stream.unwritten() == 0);
+  CHECK_FALSE(stream.HasUnackedBytes());
+  stream.Abort();
+  stream.Reset();
+  stream.Close();
+}
+
 }  // namespace
 }  // namespace umberdyke::net
