Wait for descriptors before a successor's connection is accepted again

What callers would see: a sidecar that is out of descriptors uses a whole processor from when a successor connects until one is free. The handover socket stays readable while accept4 fails with EMFILE, and its watcher called back at once.

Change: the handover socket is a Listener, like the clients', which pauses for 50 ms.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -24,7 +24,7 @@
 constexpr char kRequestMessage = 'R';  // followed by the hash of a request's id, in the machine's byte order
 constexpr size_t kHashBytes = sizeof(std::uint64_t);
 constexpr std::chrono::microseconds kReplyTimeout = 500ms;  // for a predecessor that does not answer
-constexpr int kMaxSuccessors = 8;
+constexpr size_t kMaxSuccessors = 8;
 
 std::string ListenerRequest(int version) { return "umberdyke listener " + std::to_string(version) + "\n"; }
 
@@ -222,8 +222,8 @@
   }
   counters_.Add("handover_taken");
   predecessor_announces_ = version == kAnnouncingVersion;
-  predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(); });
   predecessor_pid_ = PeerPid(link);
+  predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(); });
   LogLink(HandoverRole::kPredecessor, HandoverLinkState::kListenerPassed, predecessor_pid_);
   return listener;
 }
@@ -309,29 +309,40 @@
   const int fd = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd < 0) return std::strerror(errno);
   unlink(temporary.c_str());
-  if (bind(fd, AsSockaddr(*address), sizeof *address) != 0 || listen(fd, kMaxSuccessors) != 0 ||
-      chmod(temporary.c_str(), 0600) != 0 || rename(temporary.c_str(), path_.c_str()) != 0) {
+  if (bind(fd, AsSockaddr(*address), sizeof *address) != 0 || chmod(temporary.c_str(), 0600) != 0) {
     const std::string error = std::strerror(errno);
     unlink(temporary.c_str());
     close(fd);
     return error;
   }
+  return PublishOffer(fd, temporary);
+}
+
+// Takes ownership of the bound socket `fd`. Returns as OfferListener does.
+std::string Handover::PublishOffer(int fd, const std::string& temporary_path) {
+  auto offer = std::make_unique<Listener>(loop_, [this] { OnConnection(); });
+  std::string error = offer->Adopt(fd);
+  if (error.empty() && rename(temporary_path.c_str(), path_.c_str()) != 0) error = std::strerror(errno);
+  if (!error.empty()) {
+    unlink(temporary_path.c_str());
+    return error;
+  }
+  offer_ = std::move(offer);
   offered_ = true;
-  offer_ = std::make_unique<FdWatcher>(loop_, fd, [this] { OnConnection(); });
   return "";
 }
 
 void Handover::OnConnection() {
-  const int fd = accept4(offer_->fd(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
-  if (fd < 0) return;
-  if (!IsSameUser(fd) || successors_.size() >= kMaxSuccessors) {
-    close(fd);
+  const std::optional<int> fd = offer_->Accept();
+  if (!fd) return;
+  if (!IsSameUser(*fd) || successors_.size() >= kMaxSuccessors) {
+    close(*fd);
     return;
   }
   auto successor = std::make_unique<Successor>();
   Successor& added = *successor;
-  added.link = std::make_unique<FdWatcher>(loop_, fd, [this, &added] { OnSuccessorMessage(added); });
-  added.pid = PeerPid(fd);
+  added.pid = PeerPid(*fd);
+  added.link = std::make_unique<FdWatcher>(loop_, *fd, [this, &added] { OnSuccessorMessage(added); });
   successors_.push_back(std::move(successor));
   LogLink(HandoverRole::kSuccessor, HandoverLinkState::kConnected, added.pid);
   owner_.on_change();
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -84,6 +84,7 @@
 
  private:
   struct Successor;
+  std::string PublishOffer(int fd, const std::string& temporary_path);
   void OnConnection();
   void OnSuccessorMessage(Successor& successor);
   std::optional<int> RequestListener(int version);
@@ -104,7 +105,7 @@
   log::Log& log_;
   const Owner owner_;
   const std::shared_ptr<char> alive_ = std::make_shared<char>();
-  std::unique_ptr<FdWatcher> offer_;
+  std::unique_ptr<Listener> offer_;  // of the handover socket
   std::unique_ptr<FdWatcher> predecessor_;
   pid_t predecessor_pid_ = 0;
   bool predecessor_announces_ = false;  // it speaks the version of the protocol that announces requests
--- a/src/lab/common/process.cpp
+++ b/src/lab/common/process.cpp
@@ -1,6 +1,7 @@
 #include "lab/common/process.h"
 
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -57,6 +58,19 @@
   return count;
 }
 
+double Process::ProcessorSeconds() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/schedstat");
+  double nanoseconds = 0;
+  return file >> nanoseconds ? nanoseconds / 1e9 : 0;
+}
+
+bool Process::LimitDescriptors(int most) const {
+  rlimit limit{};
+  if (pid_ <= 0 || prlimit(pid_, RLIMIT_NOFILE, nullptr, &limit) != 0) return false;
+  limit.rlim_cur = static_cast<rlim_t>(most);
+  return prlimit(pid_, RLIMIT_NOFILE, &limit, nullptr) == 0;
+}
+
 std::optional<int> Process::Ended() {
   int status = 0;
   if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return ended_;
--- a/src/lab/common/process.h
+++ b/src/lab/common/process.h
@@ -29,6 +29,11 @@
   // ended.
   double PeakMb() const;
   int Descriptors() const;
+  // Processor time that it has used so far, in seconds; 0 once it has ended.
+  double ProcessorSeconds() const;
+  // From now on it gets no descriptor numbered `most` or higher. Returns false if the system refuses the
+  // limit.
+  bool LimitDescriptors(int most) const;
   // Its exit status once it has ended; 128 where a signal ended it.
   std::optional<int> Ended();
   // The signal that ended it; 0 while it runs, or if it exited.
--- a/tests/handover/ending_process_test.cpp
+++ b/tests/handover/ending_process_test.cpp
@@ -161,5 +161,25 @@
   CHECK(cluster.SendRequest() == 200);
 }
 
+// Fails if a process that cannot accept a successor's connection asks for it over and over without a pause.
+TEST_CASE("a process without free descriptors does not spin while a successor waits", "[handover-end]") {
+  HandoverCluster cluster;
+  const int number = cluster.Start();
+  REQUIRE(cluster.WaitUntilReady(number));
+  const lab::Process& process = *cluster.processes[0];
+  cluster.loop.RunUntil([] { return false; }, 1s);  // connections of the console end
+  REQUIRE(process.LimitDescriptors(3));             // the standard ones
+  const double before = process.ProcessorSeconds();
+  FakeSuccessor successor(cluster);
+  successor.Write("umberdyke listener 2\n");
+  cluster.loop.RunUntil([] { return false; }, 1s);
+  const double used = process.ProcessorSeconds() - before;
+  REQUIRE(process.LimitDescriptors(1024));
+  CHECK(used < 0.25);  // a quarter of a processor
+  CHECK(cluster.loop.RunUntil(
+      [&] { return cluster.Log(number).find("listener passed") != std::string::npos; }, 3s));
+  CHECK(cluster.SendRequest() == 200);
+}
+
 }  // namespace
 }  // namespace umberdyke::net
