Take a descriptor that the system cannot watch for closed, instead of crashing

uv_poll_init and uv_signal_start fail where epoll_ctl or pipe2 do (ENOMEM, ENOSPC, EMFILE); the results were ignored and the empty handle was used. FdWatcher is closed from the start then, and its users go on as without the other process or the peers; Signal throws, so that a start ends with a message and status 1.

Result: "a watcher of what cannot be watched is closed from the start" ended the test program by SIGSEGV before, and passes; the signals' part was not made to fail.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -224,6 +224,12 @@
   predecessor_announces_ = version == kAnnouncingVersion;
   predecessor_pid_ = PeerPid(link);
   predecessor_ = std::make_unique<FdWatcher>(loop_, link, [this] { OnPredecessorMessage(); });
+  if (!predecessor_->open()) {  // without the link neither would know of the other's requests
+    predecessor_.reset();
+    counters_.Add("handover_not_watched");
+    close(listener);
+    return std::nullopt;
+  }
   LogLink(HandoverRole::kPredecessor, HandoverLinkState::kListenerPassed, predecessor_pid_);
   return listener;
 }
@@ -343,6 +349,7 @@
   Successor& added = *successor;
   added.pid = PeerPid(*fd);
   added.link = std::make_unique<FdWatcher>(loop_, *fd, [this, &added] { OnSuccessorMessage(added); });
+  if (!added.link->open()) return counters_.Add("handover_not_watched");
   successors_.push_back(std::move(successor));
   LogLink(HandoverRole::kSuccessor, HandoverLinkState::kConnected, added.pid);
   owner_.on_change();
--- a/src/loop/datagrams.cpp
+++ b/src/loop/datagrams.cpp
@@ -28,7 +28,9 @@
     return error;
   }
   socket_ = std::make_unique<FdWatcher>(loop_, fd, [this] { Receive(); });
-  return "";
+  if (socket_->open()) return "";
+  socket_.reset();
+  return "the system cannot watch the socket";
 }
 
 void UdpSocket::Send(const Address& to, std::string_view bytes) {
--- a/src/loop/loop.cpp
+++ b/src/loop/loop.cpp
@@ -13,6 +13,7 @@
 #include <cstring>
 #include <iterator>
 #include <new>
+#include <stdexcept>
 #include <utility>
 
 namespace umberdyke::net {
@@ -177,10 +178,17 @@
 
 Signal::Signal(Loop& loop, int number, std::function<void()> callback)
     : handle_(new Handle{{}, std::move(callback)}) {
-  uv_signal_init(loop.raw(), &handle_->uv);
+  int status = uv_signal_init(loop.raw(), &handle_->uv);
+  if (status != 0) {
+    delete handle_;
+    throw std::runtime_error(std::string("cannot watch for signals: ") + uv_strerror(status));
+  }
   handle_->uv.data = handle_;
-  uv_signal_start(
+  status = uv_signal_start(
       &handle_->uv, [](uv_signal_t* s, int) { static_cast<Handle*>(s->data)->callback(); }, number);
+  if (status == 0) return;
+  CloseHandle(handle_);
+  throw std::runtime_error(std::string("cannot watch for a signal: ") + uv_strerror(status));
 }
 
 Signal::~Signal() {
@@ -190,7 +198,11 @@
 
 FdWatcher::FdWatcher(Loop& loop, int fd, std::function<void()> callback)
     : fd_(fd), handle_(new Handle{{}, std::move(callback)}) {
-  uv_poll_init(loop.raw(), &handle_->uv, fd);
+  if (uv_poll_init(loop.raw(), &handle_->uv, fd) != 0) {  // the loop knows nothing of the handle
+    delete std::exchange(handle_, nullptr);
+    close(std::exchange(fd_, -1));
+    return;
+  }
   handle_->uv.data = handle_;
   uv_poll_start(&handle_->uv, UV_READABLE | UV_DISCONNECT,
                 [](uv_poll_t* p, int, int) { static_cast<Handle*>(p->data)->callback(); });
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -121,6 +121,7 @@
 
 class Signal {
  public:
+  // Throws std::runtime_error if the system gives no descriptors for it.
   Signal(Loop& loop, int number, std::function<void()> callback);
   ~Signal();
   Signal(const Signal&) = delete;
@@ -141,7 +142,9 @@
   ~FdWatcher() { Close(); }
   FdWatcher(const FdWatcher&) = delete;
   FdWatcher& operator=(const FdWatcher&) = delete;
-  int fd() const { return fd_; }  // -1 once it is closed
+  // False once it is closed, and from the start if the system cannot watch the descriptor.
+  bool open() const { return handle_ != nullptr; }
+  int fd() const { return fd_; }  // -1 if it is not open
   // Closes the descriptor. The callback does not run any more, not even for an event that the loop has
   // received already in this turn. May be called from the callback, and again.
   void Close();
--- a/tests/net/exchange_end_test.cpp
+++ b/tests/net/exchange_end_test.cpp
@@ -1,4 +1,6 @@
 // Tests of exchanges that end while an event of theirs is still to come.
+#include <fcntl.h>
+
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -76,5 +78,20 @@
   stream.Close();
 }
 
+// Fails if a descriptor that the system cannot watch, as for want of memory, is watched through an empty
+// handle.
+TEST_CASE("a watcher of what cannot be watched is closed from the start", "[exchange]") {
+  Loop loop;
+  const int file = open("/proc/self/exe", O_RDONLY | O_CLOEXEC);  // epoll takes no regular files
+  REQUIRE(file >= 0);
+  bool called = false;
+  FdWatcher watcher(loop, file, [&] { called = true; });
+  CHECK_FALSE(watcher.open());
+  CHECK(watcher.fd() == -1);
+  loop.RunReady();
+  CHECK_FALSE(called);
+  watcher.Close();
+}
+
 }  // namespace
 }  // namespace umberdyke::net
