Add replaced processes, moving discovery and clients that leave mid-response to the soak

Besides: back-to-back clients from start to kill that connect anew at once, stops of any process, and a check of how each process ended, with its signal. The bounds of answers are as before; a request counts as lost to a kill only if a process was killed then. Two files more: the processes, and the clients that stay.

A client that leaves after the server has sent its whole response does not come again with its id: its answer was written.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
-// A seeded soak of one real process on loopback: servers and clients of any pace, clients that leave and come
-// again, a crowd on some seeds, and signals in series. Clients use their connections until the kill.
+// A seeded soak of a sidecar's real processes on loopback: servers and clients of any pace, clients that
+// leave and come again, a crowd on some seeds, processes that replace each other, discovery that moves, and
+// signals in series. Clients use their connections until the kill.
 //
 //   umberdyke_soak PROGRAM FIRST_SEED LAST_SEED
 //
@@ -14,6 +15,8 @@
 #include "files/files.h"
 #include "lab/common/process.h"
 #include "net/paced_peers.h"
+#include "soak/resident_clients.h"
+#include "soak/sidecar_processes.h"
 
 namespace umberdyke::net {
 namespace {
@@ -25,14 +28,18 @@
 #endif
 
 constexpr Span kLoadTime = 5s;         // before SIGTERM
-constexpr Span kKillDelay = 3700ms;    // from SIGTERM: the longest deadline, 3 s at most, and 0.7 s
 constexpr Span kLateRequests = 700ms;  // what comes later than this after SIGTERM has its answer by the kill
-constexpr Span kGrace = 500ms;         // after the time of a request
-constexpr Span kMostAfterClose = 100ms;  // until which attempts may begin for a client that has left
-constexpr Span kStallOfMachine = 50ms;   // a longer gap between two turns of this program is added to bounds
+constexpr Span kStartTime = 10s;
+constexpr Span kLateConnections = 300ms;  // connections come for so long after SIGTERM
+constexpr Span kGrace = 500ms;            // after the time of a request
+constexpr Span kMostAfterClose = 100ms;   // until which attempts may begin for a client that has left
+constexpr Span kStallOfMachine = 50ms;    // a longer gap between two turns of this program is added to bounds
 constexpr size_t kLongResponse = 150'000;
 constexpr int kServers = 4;
 constexpr int kCrowd = 300;
+constexpr int kMostReplacements = 2;
+constexpr Span kReplacementInterval = 2500ms;  // the load goes on for so long after each replacement
+constexpr int kResidents = 12;
 
 struct Draw {
   explicit Draw(unsigned seed) : random(seed) {}
@@ -48,6 +55,8 @@
   int timeout_ms = 0;
   std::unique_ptr<PacedClient> client;
   std::optional<Time> leaves_at, left_at;
+  size_t leaves_after_bytes = 0;  // of its response; 0: the client stays
+  bool answered = false;          // the server had sent its whole response when the client left
 };
 
 struct Run {
@@ -58,60 +67,60 @@
 class Soak {
  public:
   Soak(const std::string& program, unsigned seed)
-      : draw_(seed), seed_(seed), discovery_(loop_), memory_mb_(draw_.Chance(0.5) ? 32 : 192) {
-    folder_ = (std::filesystem::temp_directory_path() /
-               ("umberdyke-soak" + std::to_string(getpid()) + "-" + std::to_string(seed)))
-                  .string();
+      : draw_(seed),
+        seed_(seed),
+        discovery_(loop_),
+        moved_discovery_(loop_),
+        memory_mb_(draw_.Chance(0.5) ? 32 : 192),
+        folder_((std::filesystem::temp_directory_path() /
+                 ("umberdyke-soak" + std::to_string(getpid()) + "-" + std::to_string(seed)))
+                    .string()),
+        listen_(lab::OwnAddress() + ":18501"),
+        discovery_address_(discovery_.address()),
+        processes_(
+            program, folder_, [this](const std::string& console) { return Configuration(console); },
+            [this](const std::string& what) { Break(what); }),
+        residents_(loop_, listen_, "open" + std::to_string(seed), kResidents,
+                   {[this](const std::string& id) { return runs_.contains(id); },
+                    [this](Time at) { return processes_.KilledJustBefore(at); },
+                    [this](const std::string& what) { Break(what); }}) {
     std::filesystem::create_directories(folder_);
-    listen_ = lab::OwnAddress() + ":18501";
     discovery_.script = [](Party::Peer& peer) {
       peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     };
-    std::vector<std::string> lines;
+    moved_discovery_.script = [this](Party::Peer& peer) { TellWholeList(peer); };
     for (int i = 0; i < kServers; ++i) {
       servers_.push_back(std::make_unique<PacedServer>(loop_));
       if (draw_.Chance(0.25)) servers_.back()->bytes_per_second = draw_.Between(60, 400) * 1000;
       servers_.back()->on_request = [this](PacedServer::Peer& peer) { Serve(peer); };
-      lines.push_back(ServerLine("s" + std::to_string(i), servers_.back()->address()));
+      server_lines_.push_back(ServerLine("s" + std::to_string(i), servers_.back()->address()));
     }
-    std::string text =
-        Replaced(ConfigText(discovery_.address(), ListText(1, true, lines)), "127.0.0.1:0", listen_);
-    const std::string sockets = "\"sockets\":1024";
-    text = Replaced(text, sockets, "\"memory_mb\":" + std::to_string(memory_mb_) + "," + sockets);
-    const std::string classes = "\"request_classes\":[";
-    text =
-        Replaced(text, classes, classes + R"({"name":"unsafe","semantics":"side_effect","target_us":1500000,
-                                 "hard_limit_us":4000000,"points":2},)");
-    if (!files::WriteFileAtomically(folder_ + "/n0.json", text).empty())
-      Break("cannot write its configuration");
-    process_ = std::make_unique<lab::Process>(
-        std::vector<std::string>{program, "--config", folder_ + "/n0.json"}, folder_ + "/n0.log");
     last_turn_ = Clock::now();
   }
   ~Soak() { std::filesystem::remove_all(folder_); }
 
   // Returns the number of broken rules.
   int Play() {
-    if (!Until([this] { return Ready(); }, 10s)) {
-      Break("did not become ready");
-      return broken_;
-    }
+    if (!Start()) return broken_;
     const bool crowd = draw_.Chance(0.4);
     const bool flood = draw_.Chance(0.3);
-    const Time start = Clock::now();
+    const int replacements = draw_.Between(0, kMostReplacements);
     if (crowd) BeginCrowd();
     if (flood) BeginFlood();
-    while (Clock::now() - start < kLoadTime) {
-      BeginRequest();
-      if (draw_.Chance(0.02)) process_->Tell(SIGHUP);
-      if (draw_.Chance(0.02)) Stop();
-      Turn(std::chrono::milliseconds(draw_.Between(5, 35)));
+    serving_ = true;
+    for (int i = 0; i < replacements && broken_ == 0; ++i) {
+      PlayLoad(kReplacementInterval);
+      Replace();
     }
+    PlayLoad(kLoadTime);
     End();
     Judge();
     std::printf(
-        "seed %u: %d MB%s%s, %zu requests, peak %.1f MB, slowest turn %d ms, %d broken\n", seed_, memory_mb_,
-        crowd ? ", crowd" : "", flood ? ", flood" : "", requests_.size(), peak_mb_,
+        "seed %u: %d MB%s%s, %d replacements%s, %zu and %d requests, peak %.1f MB, slowest turn %d ms, %d "
+        "broken\n",
+        seed_, memory_mb_, crowd ? ", crowd" : "", flood ? ", flood" : "", replacements,
+        discovery_moved_ ? ", discovery moved" : "", requests_.size(), residents_.answered(),
+        processes_.peak_mb(),
         static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(slowest_turn_).count()),
         broken_);
     std::fflush(stdout);
@@ -123,7 +132,57 @@
     ++broken_;
     std::printf("seed %u: BROKEN %s\n", seed_, what.c_str());
   }
-  bool Until(const std::function<bool()>& done, Span time) { return loop_.RunUntil(done, time); }
+  std::string Configuration(const std::string& console) const {
+    std::string text =
+        Replaced(ConfigText(discovery_address_, ListText(1, true, server_lines_)), "127.0.0.1:0", listen_);
+    text.insert(1, "\"console\":\"" + console + "\",");
+    const std::string sockets = "\"sockets\":1024";
+    text = Replaced(text, sockets, "\"memory_mb\":" + std::to_string(memory_mb_) + "," + sockets);
+    const std::string classes = "\"request_classes\":[";
+    return Replaced(text, classes,
+                    classes + R"({"name":"unsafe","semantics":"side_effect","target_us":1500000,
+                                 "hard_limit_us":4000000,"points":2},)");
+  }
+  void TellWholeList(Party::Peer& peer) {
+    const std::string line = ListText(9, true, server_lines_) + "\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
+    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
+  }
+  void PlayLoad(Span time) {
+    const Time end = Clock::now() + time;
+    while (Clock::now() < end) {
+      BeginRequest();
+      if (draw_.Chance(0.02)) processes_.Reload();
+      if (draw_.Chance(0.01)) MoveDiscovery();
+      if (draw_.Chance(0.03)) Stop();
+      Turn(std::chrono::milliseconds(draw_.Between(5, 35)));
+    }
+  }
+  // Both processes may hear of it while one replaces the other.
+  void MoveDiscovery() {
+    discovery_moved_ = true;
+    discovery_address_ = moved_discovery_.address();
+    processes_.Reload();
+  }
+  bool Start() {
+    processes_.Start(lab::OwnAddress());
+    const Time end = Clock::now() + kStartTime;
+    while (!processes_.NewestServes() && Clock::now() < end) {
+      if (serving_) BeginRequest();
+      Turn(10ms);
+    }
+    if (!processes_.NewestServes()) Break("a process did not serve in time");
+    return processes_.NewestServes();
+  }
+  // The next process starts while the load goes on; the old one is terminated once that serves.
+  void Replace() {
+    SidecarProcess& old = processes_.newest();
+    if (!Start()) return;
+    PlayLoad(std::chrono::milliseconds(draw_.Between(0, 400)));
+    const int signals = draw_.Between(1, 3);
+    for (int i = 0; i < signals; ++i) After(i * 20ms, [this, &old] { processes_.Terminate(old); });
+  }
   void Turn(Span time) {
     const Time end = Clock::now() + time;
     loop_.RunUntil(
@@ -132,20 +191,19 @@
           slowest_turn_ = std::max(slowest_turn_, now - last_turn_);
           last_turn_ = now;
           Leave(now);
-          peak_mb_ = std::max(peak_mb_, process_->PeakMb());
+          processes_.Step(now);
+          residents_.Step(serving_, Slack());
           return now >= end;
         },
         time + 1s);
   }
-  bool Ready() {
-    Client client(loop_, *ParseAddress(listen_));
-    client.Send("GET /-/ready HTTP/1.1\r\n\r\n");
-    loop_.RunUntil([&] { return !client.answers.empty() || client.ended; }, 100ms);
-    return !client.answers.empty() && client.answers.front().status == 200;
-  }
+  Span Slack() const { return slowest_turn_ > kStallOfMachine ? slowest_turn_ : Span(0); }
+  // Any of the processes stands still for a while, so that much comes to it in one turn.
   void Stop() {
-    process_->Tell(SIGSTOP);
-    After(100ms, [this] { process_->Tell(SIGCONT); });
+    SidecarProcess& one =
+        processes_.At(static_cast<size_t>(draw_.Between(0, static_cast<int>(processes_.size()) - 1)));
+    one.process->Tell(SIGSTOP);
+    After(100ms, [&one] { one.process->Tell(SIGCONT); });
   }
   void After(Span delay, std::function<void()> task) {
     timers_.push_back(std::make_unique<Timer>(loop_, std::move(task)));
@@ -171,13 +229,13 @@
     });
     const Span pause = std::chrono::milliseconds(draw_.Between(0, 900));
     for (size_t at = 0, i = 0; at < kLongResponse; at += 30'000, ++i) {
-      After(work + pause + i * 30ms, [&peer, id, at] {
+      After(work + pause + i * 30ms, [this, &peer, id, at] {
         std::string piece(30'000, 'r');
         if (at == 0) piece.replace(0, id.size(), id);
         peer.Write(piece);
+        if (at + piece.size() == kLongResponse) sent_whole_.insert(id);
       });
     }
-    long_responses_.insert(id);
   }
 
   std::string TextOf(const Request& request, bool is_long) {
@@ -193,8 +251,8 @@
     // Some clients come again with the id of one that has left.
     Request* left = nullptr;
     for (auto& earlier : requests_) {
-      if (earlier->left_at && !again_.contains(earlier->id) && earlier->request_class != "look" &&
-          draw_.Chance(0.1))
+      if (earlier->left_at && !earlier->answered && !again_.contains(earlier->id) &&
+          earlier->request_class != "look" && draw_.Chance(0.1))
         left = earlier.get();
     }
     request->id = left != nullptr ? left->id : "s" + std::to_string(seed_) + "." + std::to_string(next_id_++);
@@ -208,10 +266,13 @@
                                       is_long && draw_.Chance(0.5) ? draw_.Between(150, 900) * 1000 : 0);
     if (draw_.Chance(0.08))
       request->leaves_at = Clock::now() + std::chrono::milliseconds(draw_.Between(1, 300));
+    if (draw_.Chance(0.3))  // only a long response is that long
+      request->leaves_after_bytes = static_cast<size_t>(draw_.Between(400, 140'000));
     requests_.push_back(std::move(request));
   }
   void Leave(Time now) {
     for (auto& request : requests_) {
+      LeaveLongResponse(*request);
       if (!request->leaves_at || request->left_at || now < *request->leaves_at) continue;
       if (!request->client->first_byte_at && !request->client->ended_at) request->left_at = now;
       request->client->stream.Close();
@@ -219,6 +280,21 @@
     }
   }
 
+  // Some leave at once in the middle of a long response, and some read no more of it for a while before.
+  void LeaveLongResponse(Request& request) {
+    if (request.leaves_after_bytes == 0 || request.client->received < request.leaves_after_bytes) return;
+    request.leaves_after_bytes = 0;
+    if (draw_.Chance(0.5)) return CloseInResponse(request);
+    request.client->stream.Pause();
+    After(std::chrono::milliseconds(draw_.Between(50, 1500)), [this, &request] { CloseInResponse(request); });
+  }
+  void CloseInResponse(Request& request) {
+    if (request.left_at || !request.client->stream.open()) return;
+    request.left_at = Clock::now();
+    request.answered = sent_whole_.contains(request.id);
+    request.client->stream.Close();
+  }
+
   void BeginCrowd() {
     const int kind = draw_.Between(0, 3);
     for (int i = 0; i < kCrowd; ++i) {
@@ -244,51 +320,43 @@
 
   // SIGTERM in series, then clients go on until the kill at its earliest.
   void End() {
-    terminated_at_ = Clock::now();
-    for (int i = 0; i < draw_.Between(1, 4); ++i) After(i * 20ms, [this] { process_->Tell(SIGTERM); });
-    std::vector<std::unique_ptr<Client>> open;
-    for (int i = 0; i < 12; ++i) {
-      open.push_back(std::make_unique<Client>(loop_, *ParseAddress(listen_)));
-      open.back()->Send(Look("1000", "open" + std::to_string(seed_) + "." + std::to_string(i) + ".0"));
-    }
-    std::vector<int> sent(open.size(), 1);
-    while (Clock::now() - terminated_at_ < kKillDelay - 60ms) {
-      for (size_t i = 0; i < open.size(); ++i) {
-        const bool answered = static_cast<int>(open[i]->answers.size()) == sent[i];
-        if (!answered || open[i]->ended || !open[i]->stream.open()) continue;
-        open[i]->Send(Look("1000", "open" + std::to_string(seed_) + "." + std::to_string(i) + "." +
-                                       std::to_string(sent[i])));
-        ++sent[i];
-      }
-      if (Clock::now() - terminated_at_ < 300ms) BeginRequest();
+    const Time begun = Clock::now();
+    SidecarProcess& last = processes_.newest();
+    const int signals = draw_.Between(1, 4);
+    for (int i = 0; i < signals; ++i) After(i * 20ms, [this, &last] { processes_.Terminate(last); });
+    while (Clock::now() - begun < kKillDelay + kStallOfMachine) {
+      if (Clock::now() - begun > kLateConnections) serving_ = false;
+      if (Clock::now() - begun < kLateConnections) BeginRequest();
       Turn(20ms);
     }
-    Turn(std::max<Span>(terminated_at_ + kKillDelay - Clock::now(), 0ms));
-    peak_mb_ = std::max(peak_mb_, process_->PeakMb());
-    const std::optional<int> ended = process_->Ended();
-    if (ended && *ended != 0) Break("the process ended by itself with " + std::to_string(*ended));
-    process_->Tell(SIGKILL);
-    killed_at_ = Clock::now();
     Turn(100ms);
-    for (size_t i = 0; i < open.size(); ++i) {
-      const std::string id =
-          "open" + std::to_string(seed_) + "." + std::to_string(i) + "." + std::to_string(sent[i] - 1);
-      const bool unanswered = static_cast<int>(open[i]->answers.size()) < sent[i];
-      if (unanswered && runs_.contains(id)) Break("open connection: " + id + " was sent on and not answered");
-    }
+    residents_.JudgeOpenRequests();
   }
 
   void Judge() {
-    const Span slack = slowest_turn_ > kStallOfMachine ? slowest_turn_ : Span(0);
-    if (kMeasuresMemory && peak_mb_ * 1e6 > memory_mb_ * 1024.0 * 1024.0)
-      Break("memory: " + std::to_string(peak_mb_) + " MB of " + std::to_string(memory_mb_));
-    for (const auto& request : requests_) JudgeRequest(*request, slack);
+    if (kMeasuresMemory && processes_.peak_mb() * 1e6 > memory_mb_ * 1024.0 * 1024.0)
+      Break("memory: " + std::to_string(processes_.peak_mb()) + " MB of " + std::to_string(memory_mb_));
+    for (const auto& request : requests_) JudgeRequest(*request, Slack());
     for (const auto& [id, runs] : runs_) {
       if (runs.front().request_class == "unsafe" && runs.size() > 1)
-        Break("ran twice: " + id + " of class unsafe, " + std::to_string(runs.size()) + " times");
+        Break("ran twice: " + id + " of class unsafe" + TimesOf(id, runs));
+    }
+    if (processes_.Logs().find("invariant_broken") != std::string::npos) Break("an invariant");
+  }
+  // When the attempts of an id began and when its clients left, for the trace.
+  std::string TimesOf(const std::string& id, const std::vector<Run>& runs) const {
+    const auto millis = [&](Time at) {
+      return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(at - runs[0].at).count()) +
+             " ms";
+    };
+    std::string text = ": ran";
+    for (const Run& run : runs) text += " at " + millis(run.at);
+    for (const auto& request : requests_) {
+      if (request->id != id || !request->left_at) continue;
+      text += ", a client left at " + millis(*request->left_at) + " with " +
+              std::to_string(request->client->received) + " bytes";
     }
-    const std::string log = files::ReadFile(folder_ + "/n0.log", 8 << 20).text;
-    if (log.find("invariant_broken") != std::string::npos) Break("an invariant");
+    return text;
   }
   void JudgeRequest(const Request& request, Span slack) {
     const PacedClient& client = *request.client;
@@ -306,11 +374,11 @@
     }
     if (!client.written_at) return;
     const Time due = *client.written_at + std::chrono::milliseconds(request.timeout_ms) + kGrace + slack;
-    const bool before_kill = due < killed_at_ || *client.written_at > terminated_at_ + kLateRequests;
+    const bool lost_to_kill = processes_.MayBeLostToKill(*client.written_at, due, kLateRequests);
     const bool closed = client.ended_at && !client.first_byte_at;
-    if (closed && runs != runs_.end() && *client.ended_at < killed_at_)
+    if (closed && runs != runs_.end() && !processes_.KilledJustBefore(*client.ended_at))
       return Break("closed without an answer: " + name);
-    if (!client.first_byte_at && !closed && before_kill) return Break("no answer: " + name);
+    if (!client.first_byte_at && !closed && !lost_to_kill) return Break("no answer: " + name);
     if (client.first_byte_at && *client.first_byte_at > due) return Break("late answer: " + name);
     if (client.status() == 200 && client.kept.find(request.id) == std::string::npos && client.received > 300)
       Break("another's answer: " + name);
@@ -319,20 +387,24 @@
   Draw draw_;
   const unsigned seed_;
   Loop loop_;
-  Party discovery_;
+  Party discovery_, moved_discovery_;
   const int memory_mb_;
-  std::string folder_, listen_;
+  const std::string folder_, listen_;
+  std::string discovery_address_;
+  bool discovery_moved_ = false;
+  std::vector<std::string> server_lines_;
   std::vector<std::unique_ptr<PacedServer>> servers_;
-  std::unique_ptr<lab::Process> process_;
+  SidecarProcesses processes_;
+  ResidentClients residents_;
+  bool serving_ = false;  // clients may connect
   std::vector<std::unique_ptr<Request>> requests_;
   std::vector<std::unique_ptr<PacedClient>> crowd_;
   std::vector<std::unique_ptr<Timer>> timers_;
   std::map<std::string, std::vector<Run>> runs_;
-  std::set<std::string> again_, long_responses_;
+  std::set<std::string> again_, sent_whole_;
   int next_id_ = 0;
   int broken_ = 0;
-  double peak_mb_ = 0;
-  Time last_turn_{}, terminated_at_{}, killed_at_{};
+  Time last_turn_{};
   Span slowest_turn_{};
 };
 
