Ask a predecessor that is held up for its socket again, instead of taking it for an older release

What callers would see: a request that may not run twice runs again at the new process, under the same id, though the old one knows it.

Cause: any failure of the newer request for the listening socket was followed by the older one, also where the predecessor merely had not replied within 500 ms. The link then shares no ids.

Change: only a refusal leads to the older version; without a reply the same is asked again. The longest wait is as before.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -119,8 +119,12 @@
   return sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(text.size());
 }
 
-// Returns -1 if no socket was received.
-int ReceiveSocket(int from) {
+struct ReceivedSocket {
+  int fd = -1;
+  bool timed_out = false;
+};
+
+ReceivedSocket ReceiveSocket(int from) {
   int passed = -1;
   char control[CMSG_SPACE(sizeof passed)] = {};
   char text[kListenerReply.size()];
@@ -131,14 +135,14 @@
   message.msg_control = control;
   message.msg_controllen = sizeof control;
   const ssize_t got = recvmsg(from, &message, MSG_CMSG_CLOEXEC);
-  if (got <= 0) return -1;
+  if (got <= 0) return {-1, got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)};
   for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr; head = CMSG_NXTHDR(&message, head)) {
     if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
     std::memcpy(&passed, CMSG_DATA(head), sizeof passed);
   }
-  if (std::string_view(text, static_cast<size_t>(got)) == kListenerReply) return passed;
+  if (std::string_view(text, static_cast<size_t>(got)) == kListenerReply) return {passed, false};
   if (passed >= 0) close(passed);
-  return -1;
+  return {};
 }
 
 }  // namespace
@@ -194,17 +198,19 @@
   return std::any_of(successors_.begin(), successors_.end(), [](const auto& s) { return s->serves; });
 }
 
-// A predecessor of an older release refuses the newer request.
+// A predecessor of an older release refuses the newer request. One that has not replied in time may only be
+// held up: it is asked for the same again, as its requests would not be known under the older version.
 std::optional<int> Handover::RequestListener() {
-  const std::optional<int> listener = RequestListener(kAnnouncingVersion);
-  return listener ? listener : RequestListener(kSilentVersion);
+  const ListenerReply first = AskForListener(kAnnouncingVersion);
+  if (first.listener) return first.listener;
+  return AskForListener(first.refused ? kSilentVersion : kAnnouncingVersion).listener;
 }
 
-std::optional<int> Handover::RequestListener(int version) {
+Handover::ListenerReply Handover::AskForListener(int version) {
   const auto address = UnixAddress(path_);
-  if (!address) return std::nullopt;
+  if (!address) return {};
   const int link = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (link < 0) return std::nullopt;
+  if (link < 0) return {};
   timeval timeout{};
   timeout.tv_usec = kReplyTimeout.count();
   setsockopt(link, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
@@ -213,12 +219,13 @@
   const bool sent =
       connect(link, AsSockaddr(*address), sizeof *address) == 0 && IsSameUser(link) &&
       send(link, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size());
-  const int listener = sent ? ReceiveSocket(link) : -1;
+  const ReceivedSocket received = sent ? ReceiveSocket(link) : ReceivedSocket();
+  const int listener = received.fd;
   if (listener < 0 || !IsListeningAt(listener, listen_)) {
     if (sent && version == kSilentVersion) counters_.Add("handover_not_given");
     if (listener >= 0) close(listener);
     close(link);
-    return std::nullopt;
+    return {std::nullopt, sent && !received.timed_out};
   }
   counters_.Add("handover_taken");
   predecessor_announces_ = version == kAnnouncingVersion;
@@ -228,10 +235,10 @@
     predecessor_.reset();
     counters_.Add("handover_not_watched");
     close(listener);
-    return std::nullopt;
+    return {};
   }
   LogLink(HandoverRole::kPredecessor, HandoverLinkState::kListenerPassed, predecessor_pid_);
-  return listener;
+  return {listener, false};
 }
 
 void Handover::AnnounceRequest(std::uint64_t id_hash) {
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -53,6 +53,11 @@
 
 class Handover {
  public:
+  // What came of a request for the listening socket.
+  struct ListenerReply {
+    std::optional<int> listener;
+    bool refused = false;  // a process replied, or ended the link, without passing the socket
+  };
   struct Owner {
     std::function<int()> listener_fd;  // the socket to pass, or -1 if there is none now
     std::function<void()> on_change;   // the other process has connected, serves or has exited
@@ -87,7 +92,7 @@
   std::string PublishOffer(int fd, const std::string& temporary_path);
   void OnConnection();
   void OnSuccessorMessage(Successor& successor);
-  std::optional<int> RequestListener(int version);
+  ListenerReply AskForListener(int version);
   void OnPredecessorMessage();
   bool ReceiveFromPredecessor();
   void RemovePredecessor(HandoverLinkState end_state);
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -389,5 +389,31 @@
   CHECK(runs.size() == 13);
 }
 
+// Fails if a predecessor that is held up as it is asked for its socket is taken for one that shares no ids.
+TEST_CASE("an id is not run twice where the old process was held up during the takeover", "[handover]") {
+  HandoverCluster cluster;
+  int runs = 0;
+  cluster.server.script = [&](Party::Peer&) { ++runs; };
+  const auto send_and_leave = [&] {
+    Client client(cluster.loop, *ParseAddress(cluster.listen()));
+    const int before = runs;
+    client.Send(Hand("hand"));
+    cluster.loop.RunUntil([&] { return runs > before || !client.answers.empty() || client.ended; }, 1s);
+  };
+  const int old_process = cluster.Start();
+  REQUIRE(cluster.WaitUntilReady(old_process));
+  send_and_leave();
+  REQUIRE(runs == 1);
+  cluster.SignalProcess(old_process, SIGSTOP);
+  const int new_process = cluster.Start();
+  cluster.loop.RunUntil([] { return false; }, 700ms);  // longer than it waits for a reply
+  cluster.SignalProcess(old_process, SIGCONT);
+  REQUIRE(cluster.WaitUntilReady(new_process));
+  cluster.SignalProcess(old_process, SIGTERM);
+  cluster.loop.RunUntil([] { return false; }, 100ms);
+  send_and_leave();
+  CHECK(runs == 1);
+}
+
 }  // namespace
 }  // namespace umberdyke::net
