--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -176,8 +176,8 @@
   }
 }
 
-// Ends the exchange from the event loop, never inside the call that starts it or sends its body. Until then it
-// may have no connection, so its timer must not fire.
+// Ends the exchange from the event loop, never inside the call that starts it or sends its body. Until then
+// it may have no connection, so its timer must not fire.
 void RealServers::EndLater(ExchangeId id, Code code) {
   if (const auto it = exchanges_.find(id); it != exchanges_.end()) it->second->timer.Stop();
   loop_.Post(alive_, [this, id, code] {
