Hold signals back until they are handled, and again from the end of the loop on

What callers would see: a sidecar ends by SIGHUP where a new configuration is announced while it starts, for as long as it waits for its predecessor's reply (a second at most), or in the moment in which it exits.

Cause: the handlers are there only while the loop runs; before and after, the default action ends the process.

Change: main blocks SIGTERM, SIGINT, SIGHUP and SIGUSR1 until the loop runs, and from its end on. What came meanwhile is handled then.

--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -56,8 +56,18 @@
       "Example:\n  umberdyke --config /etc/umberdyke/linen-track.front-1.json --log-format json");
 }
 
+// SIG_BLOCK holds the signals that have handlers back, and SIG_UNBLOCK delivers them. Before the handlers are
+// there, and once they are gone, such a signal would end the process.
+void MaskHandledSignals(int how) {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&handled, number);
+  sigprocmask(how, &handled, nullptr);
+}
+
 // Loads everything that a start loads, prints the findings and returns the exit status.
 int CheckConfiguration(const net::Environment& environment) {
+  MaskHandledSignals(SIG_UNBLOCK);
   const std::string path = environment("ROUTER_CONFIG").value_or("");
   if (path.empty()) {
     std::cerr << "configuration: ROUTER_CONFIG is not set and --config is not given\n";
@@ -106,7 +116,9 @@
     log->Say(log::Event::kCounters, "counters: " + sidecar.counters().Print("; "),
              {{"counters", sidecar.counters().Print("; ")}});
   });
+  MaskHandledSignals(SIG_UNBLOCK);
   loop.Run();
+  MaskHandledSignals(SIG_BLOCK);
   log->Say(log::Event::kEnded, config.name + " ends; counters: " + sidecar.counters().Print("; "),
            {{"counters", sidecar.counters().Print("; ")}});
   return 0;
@@ -116,6 +128,7 @@
 
 int main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  MaskHandledSignals(SIG_BLOCK);
   Options options;
   CLI::App app;
   AddOptions(app, &options);
--- a/tests/handover/ending_process_test.cpp
+++ b/tests/handover/ending_process_test.cpp
@@ -161,6 +161,31 @@
   CHECK(cluster.SendRequest() == 200);
 }
 
+// Fails if a new configuration that is announced while a process starts, or as it ends, ends it by SIGHUP.
+TEST_CASE("a process survives SIGHUP from its start to its exit", "[handover-end]") {
+  HandoverCluster cluster;
+  const int old_process = cluster.Start();
+  REQUIRE(cluster.WaitUntilReady(old_process));
+  cluster.SignalProcess(old_process, SIGSTOP);  // the next process waits for its reply
+  const int new_process = cluster.Start();
+  cluster.loop.RunUntil([] { return false; }, 300ms);
+  cluster.SignalProcess(new_process, SIGHUP);
+  cluster.loop.RunUntil([] { return false; }, 50ms);
+  cluster.SignalProcess(old_process, SIGCONT);
+  CHECK(cluster.WaitUntilReady(new_process));
+  CHECK(cluster.loop.RunUntil(
+      [&] { return cluster.Log(new_process).find("reloaded its configuration") != std::string::npos; }, 3s));
+  cluster.SignalProcess(old_process, SIGTERM);
+  const lab::Process& ending = *cluster.processes[static_cast<size_t>(old_process)];
+  for (int i = 0; i < 6000 && !cluster.processes[static_cast<size_t>(old_process)]->Ended(); ++i) {
+    ending.Tell(SIGHUP);
+    usleep(1000);
+  }
+  CHECK(cluster.WaitForExit(old_process) == 0);
+  CHECK(ending.EndSignal() == 0);
+  CHECK(cluster.SendRequest() == 200);
+}
+
 // Fails if a process that cannot accept a successor's connection asks for it over and over without a pause.
 TEST_CASE("a process without free descriptors does not spin while a successor waits", "[handover-end]") {
   HandoverCluster cluster;
