Reload once for a series of SIGHUP, so that a storm of them can't starve the loop

Change: a signal only asks for a reload, which is posted once.

Result: "a process survives SIGHUP from its start to its exit" failed in the sanitized build before and passes; release passed before, too.

--- a/src/sidecar/main.cpp
+++ b/src/sidecar/main.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "config/config.h"
 #include "config/sidecar_file.h"
@@ -110,8 +111,15 @@
   const auto shutdown = [&] { sidecar.Shutdown([&] { loop.Stop(); }); };
   const net::Signal terminate(loop, SIGTERM, shutdown);
   const net::Signal interrupt(loop, SIGINT, shutdown);
-  const net::Signal reload(loop, SIGHUP,
-                           [&] { sidecar.Reload([&] { return net::ReloadConfig(environment); }); });
+  // A series of signals is delivered in one turn of the loop, and asks for one reload.
+  const auto pending_reload = std::make_shared<bool>(false);
+  const net::Signal reload(loop, SIGHUP, [&] {
+    if (std::exchange(*pending_reload, true)) return;
+    loop.Post(pending_reload, [&] {
+      *pending_reload = false;
+      sidecar.Reload([&] { return net::ReloadConfig(environment); });
+    });
+  });
   const net::Signal print(loop, SIGUSR1, [&] {
     log->Say(log::Event::kCounters, "counters: " + sidecar.counters().Print("; "),
              {{"counters", sidecar.counters().Print("; ")}});
