Fail the soak again if a request that ran is unanswered at the kill

When the back-to-back clients moved into a class, any connection that ended within 200 ms after a kill was excused; before, only requests of the last 60 ms before it were. The excuse is back to those: this check had become looser by mistake.

--- a/tests/soak/resident_clients.h
+++ b/tests/soak/resident_clients.h
@@ -18,8 +18,9 @@
 
   struct Owner {
     std::function<bool(const std::string& id)> has_run;
-    std::function<bool(Time at)> killed_just_before;  // a process was, so its connections ended with it
-    std::function<Span(Time from)> stalled_since;     // for how long the test's program stood still
+    // Whether a request may have been lost with a process that was killed as its connection ended.
+    std::function<bool(Time sent, Time ended)> sent_too_late_for_kill;
+    std::function<Span(Time from)> stalled_since;  // for how long the test's program stood still
     std::function<void(const std::string& what)> broken;
   };
 
@@ -78,7 +79,7 @@
   }
   // A request that crosses the close of its connection may be unread; one that a server got has its answer.
   void JudgeEnd(const Resident& one, Time now) {
-    if (one.waits && owner_.has_run(one.id) && !owner_.killed_just_before(now))
+    if (one.waits && owner_.has_run(one.id) && !owner_.sent_too_late_for_kill(one.sent_at, now))
       owner_.broken("open connection: " + one.id + " was sent on and its connection closed");
   }
 
--- a/tests/soak/sidecar_processes.h
+++ b/tests/soak/sidecar_processes.h
@@ -93,11 +93,17 @@
              written <= *one->terminated_at + late;
     });
   }
-  bool KilledJustBefore(Time at) const {
+  // Whether a connection that ended at `ended` ended with a killed process, and its request, sent at `sent`,
+  // may have been too late for an answer.
+  bool SentTooLateForKill(Time sent, Time ended) const {
     return std::any_of(all_.begin(), all_.end(), [&](const auto& one) {
-      return one->killed_at && at >= *one->killed_at && at < *one->killed_at + 200ms;
+      return EndedWith(one->killed_at, ended) && sent > *one->killed_at - kLastRequestBeforeKill;
     });
   }
+  bool KilledJustBefore(Time at) const {
+    return std::any_of(all_.begin(), all_.end(),
+                       [&](const auto& one) { return EndedWith(one->killed_at, at); });
+  }
   std::string Logs() const {
     std::string logs;
     for (const auto& one : all_) logs += files::ReadFile(one->file + ".log", kMaxLogBytes).text;
@@ -105,6 +111,14 @@
   }
 
  private:
+  // Clients see the end of a killed process's connections in so long.
+  static constexpr Span kKillSeenWithin = 200ms;
+  // What is sent later before the kill may have no answer.
+  static constexpr Span kLastRequestBeforeKill = 60ms;
+
+  static bool EndedWith(const std::optional<Time>& killed_at, Time ended) {
+    return killed_at && ended >= *killed_at && ended < *killed_at + kKillSeenWithin;
+  }
   static constexpr int kFirstConsolePort = 18'600;
   static constexpr size_t kMaxLogBytes = size_t{8} << 20;
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -91,7 +91,7 @@
             [this](const std::string& what) { Break(what); }),
         residents_(loop_, listen_, "open" + std::to_string(seed), kResidents,
                    {[this](const std::string& id) { return runs_.contains(id); },
-                    [this](Time at) { return processes_.KilledJustBefore(at); },
+                    [this](Time sent, Time ended) { return processes_.SentTooLateForKill(sent, ended); },
                     [this](Time from) { return StalledBetween(from, Clock::now()); },
                     [this](const std::string& what) { Break(what); }}) {
     std::filesystem::create_directories(folder_);
