Read both ends of a handover link by one function

The loop over recv and the look at errno stood twice, and errno a third time. No change of behaviour: [handover], [handover-end] and [crash-log] pass, 832 assertions, release.

--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -119,6 +119,21 @@
   return sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(text.size());
 }
 
+// Whether the last call failed only for now, as nothing had come yet.
+bool MayReceiveLater() { return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR; }
+
+// Hands all that can be read from `fd` to `on_bytes`. Returns false if the peer has closed the link, or once
+// `on_bytes` has returned false.
+template <typename OnBytes>
+bool ReceiveAll(int fd, const OnBytes& on_bytes) {
+  char text[4096];
+  ssize_t got = 0;
+  while ((got = recv(fd, text, sizeof text, MSG_DONTWAIT)) > 0) {
+    if (!on_bytes(std::string_view(text, static_cast<size_t>(got)))) return false;
+  }
+  return got < 0 && MayReceiveLater();
+}
+
 struct ReceivedSocket {
   int fd = -1;
   bool timed_out = false;
@@ -135,7 +150,7 @@
   message.msg_control = control;
   message.msg_controllen = sizeof control;
   const ssize_t got = recvmsg(from, &message, MSG_CMSG_CLOEXEC);
-  if (got <= 0) return {-1, got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)};
+  if (got <= 0) return {-1, got < 0 && MayReceiveLater()};
   for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr; head = CMSG_NXTHDR(&message, head)) {
     if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
     std::memcpy(&passed, CMSG_DATA(head), sizeof passed);
@@ -276,14 +291,9 @@
 // A predecessor of version 1 sends nothing after its reply, so what can be read there is its exit.
 bool Handover::ReceiveFromPredecessor() {
   const HandoverRecords::Handlers handlers{[] {}, owner_.on_request_sent};
-  char text[4096];
-  ssize_t got = 0;
-  while ((got = recv(predecessor_->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
-    const bool valid =
-        predecessor_announces_ && predecessor_records_.Feed({text, static_cast<size_t>(got)}, handlers);
-    if (!valid) return false;
-  }
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return ReceiveAll(predecessor_->fd(), [&](std::string_view received) {
+    return predecessor_announces_ && predecessor_records_.Feed(received, handlers);
+  });
 }
 
 void Handover::OnPredecessorMessage() {
@@ -388,16 +398,10 @@
     successor.serves = true;
     LogLink(HandoverRole::kSuccessor, HandoverLinkState::kServing, successor.pid);
   };
-  char text[4096];
-  ssize_t got = 0;
-  while ((got = recv(successor.link->fd(), text, sizeof text, MSG_DONTWAIT)) > 0) {
-    const std::string_view received(text, static_cast<size_t>(got));
-    const bool valid = successor.has_socket
-                           ? successor.records.Feed(received, {on_serving, owner_.on_request_sent})
-                           : PassListener(successor, received);
-    if (!valid) return false;
-  }
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return ReceiveAll(successor.link->fd(), [&](std::string_view received) {
+    return successor.has_socket ? successor.records.Feed(received, {on_serving, owner_.on_request_sent})
+                                : PassListener(successor, received);
+  });
 }
 
 bool Handover::PassListener(Successor& successor, std::string_view request) {
