--- a/tests/config/serve_test.cpp
+++ b/tests/config/serve_test.cpp
@@ -28,10 +28,7 @@
     peer.Answer(200, "lot 7", {{"X-Server-Load", R"({"inflight":1,"queue":0})"}});
   };
   discovery.script = [&](Party::Peer& peer) {
-    const std::string line = ListText(1, true, {ServerLine("s1", server.address())}) + "\n";
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
+    peer.Reply(ListResponse(ListText(1, true, {ServerLine("s1", server.address())})));
   };
   const fs::path folder = fs::temp_directory_path() / ("umberdyke-serve-" + std::to_string(getpid()));
   fs::create_directories(folder);
--- a/tests/handover/cluster.h
+++ b/tests/handover/cluster.h
@@ -28,10 +28,7 @@
     host = lab::OwnAddress();
     server.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
     discovery.script = [this](Party::Peer& peer) {
-      const std::string line = ListText(2, true, {ServerLine("s1", server.address())}) + "\n";
-      char size[16];
-      std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-      peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
+      peer.Reply(ListResponse(ListText(2, true, {ServerLine("s1", server.address())})));
     };
   }
   ~HandoverCluster() {
@@ -39,6 +36,10 @@
     std::filesystem::remove_all(folder);
   }
   std::string listen() const { return host + ":8081"; }
+  // Where a process offers its listening socket to successors.
+  std::string HandoverSocket() const {
+    return (folder / "run" / ("umberdyke-" + host + "-8081.sock")).string();
+  }
   std::string console(int number) const { return host + ":" + std::to_string(9800 + number); }
 
   // Starts the next process of the sidecar and returns its number, which selects its console address.
@@ -80,6 +81,9 @@
     }
     return false;
   }
+  void Wait(Span time) {
+    loop.RunUntil([] { return false; }, time);
+  }
   int SendRequest() {
     Client client(loop, *ParseAddress(listen()));
     const Time start = Clock::now();
--- a/tests/handover/ending_process_test.cpp
+++ b/tests/handover/ending_process_test.cpp
@@ -32,7 +32,7 @@
   }
   void Stop(int number) {
     cluster.SignalProcess(number, SIGSTOP);
-    cluster.loop.RunUntil([] { return false; }, 50ms);
+    cluster.Wait(50ms);
   }
   void Continue(int number) { cluster.SignalProcess(number, SIGCONT); }
   bool Answers(const Client& client, size_t count) {
@@ -62,7 +62,7 @@
   while (static_cast<int>(clients.size()) < requests) clients.push_back(two.Connect());
   two.Stop(two.new_process);
   for (const auto& client : clients) client->Send(two.cluster.Request());
-  two.cluster.loop.RunUntil([] { return false; }, 50ms);
+  two.cluster.Wait(50ms);
   two.cluster.SignalProcess(two.old_process, SIGKILL);
   REQUIRE(two.cluster.WaitForExit(two.old_process).has_value());
   two.Continue(two.new_process);
@@ -83,7 +83,7 @@
     clients.push_back(std::make_unique<Client>(two.cluster.loop, *ParseAddress(two.cluster.listen())));
     clients.back()->Send(two.cluster.Request());
   }
-  two.cluster.loop.RunUntil([] { return false; }, 50ms);
+  two.cluster.Wait(50ms);
   two.Continue(two.new_process);
   CHECK(two.Answers(*two.to_new, 2));
   for (const auto& client : clients) CHECK(two.Answers(*client, 1));
@@ -96,7 +96,7 @@
   TwoProcesses two;
   two.Stop(two.old_process);
   two.to_old->Send(two.cluster.Request());
-  two.cluster.loop.RunUntil([] { return false; }, 50ms);
+  two.cluster.Wait(50ms);
   two.cluster.SignalProcess(two.new_process, SIGKILL);
   REQUIRE(two.cluster.WaitForExit(two.new_process).has_value());
   two.Continue(two.old_process);
@@ -109,7 +109,7 @@
 class FakeSuccessor {
  public:
   explicit FakeSuccessor(const HandoverCluster& cluster) : fd_(socket(AF_UNIX, SOCK_STREAM, 0)) {
-    const std::string path = (cluster.folder / "run" / ("umberdyke-" + cluster.host + "-8081.sock")).string();
+    const std::string path = cluster.HandoverSocket();
     sockaddr_un address{};
     address.sun_family = AF_UNIX;
     path.copy(address.sun_path, sizeof address.sun_path - 1);
@@ -146,16 +146,16 @@
   REQUIRE(cluster.loop.RunUntil(
       [&] { return cluster.Log(number).find("listener passed") != std::string::npos; }, 3s));
   cluster.SignalProcess(number, SIGSTOP);
-  cluster.loop.RunUntil([] { return false; }, 30ms);
+  cluster.Wait(30ms);
   if (request_first) client.Send(cluster.Request());
-  cluster.loop.RunUntil([] { return false; }, 30ms);
+  cluster.Wait(30ms);
   successor.Write(last_bytes);
   if (ends) successor.End();
   if (!request_first) client.Send(cluster.Request());
-  cluster.loop.RunUntil([] { return false; }, 30ms);
+  cluster.Wait(30ms);
   cluster.SignalProcess(number, SIGCONT);
   CHECK(cluster.loop.RunUntil([&] { return client.answers.size() == 2; }, 3s));
-  cluster.loop.RunUntil([] { return false; }, 100ms);
+  cluster.Wait(100ms);
   CHECK_FALSE(cluster.processes[0]->Ended().has_value());
   CHECK(cluster.processes[0]->EndSignal() == 0);
   CHECK(cluster.SendRequest() == 200);
@@ -168,9 +168,9 @@
   REQUIRE(cluster.WaitUntilReady(old_process));
   cluster.SignalProcess(old_process, SIGSTOP);  // the next process waits for its reply
   const int new_process = cluster.Start();
-  cluster.loop.RunUntil([] { return false; }, 300ms);
+  cluster.Wait(300ms);
   cluster.SignalProcess(new_process, SIGHUP);
-  cluster.loop.RunUntil([] { return false; }, 50ms);
+  cluster.Wait(50ms);
   cluster.SignalProcess(old_process, SIGCONT);
   CHECK(cluster.WaitUntilReady(new_process));
   CHECK(cluster.loop.RunUntil(
@@ -192,12 +192,12 @@
   const int number = cluster.Start();
   REQUIRE(cluster.WaitUntilReady(number));
   const lab::Process& process = *cluster.processes[0];
-  cluster.loop.RunUntil([] { return false; }, 1s);  // connections of the console end
-  REQUIRE(process.LimitDescriptors(3));             // the standard ones
+  cluster.Wait(1s);                      // connections of the console end
+  REQUIRE(process.LimitDescriptors(3));  // the standard ones
   const double before = process.ProcessorSeconds();
   FakeSuccessor successor(cluster);
   successor.Write("umberdyke listener 2\n");
-  cluster.loop.RunUntil([] { return false; }, 1s);
+  cluster.Wait(1s);
   const double used = process.ProcessorSeconds() - before;
   REQUIRE(process.LimitDescriptors(1024));
   CHECK(used < 0.25);  // a quarter of a processor
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -89,7 +89,7 @@
     cluster.SignalProcess(serving, SIGTERM);
     if (i % 10 == 9) CHECK(cluster.WaitForExit(serving) == 0);
     serving = next;
-    cluster.loop.RunUntil([] { return false; }, 20ms);
+    cluster.Wait(20ms);
   }
   load.Stop();
   REQUIRE(cluster.loop.RunUntil([&] { return load.Finished(); }, 6s));
@@ -114,7 +114,7 @@
 // A start must not depend on leftovers at the socket path or on another program that listens there.
 TEST_CASE("a start succeeds whatever is at the path of the handover socket", "[handover]") {
   HandoverCluster cluster;
-  const std::string path = (cluster.folder / "run" / ("umberdyke-" + cluster.host + "-8081.sock")).string();
+  const std::string path = cluster.HandoverSocket();
   SECTION("a regular file") { REQUIRE(files::WriteFileAtomically(path, "not a socket").empty()); }
   SECTION("a folder at the socket path") { fs::create_directories(path + "/deep"); }
   SECTION("no runtime folder") { fs::remove_all(cluster.folder / "run"); }
@@ -212,10 +212,7 @@
   Party moved(cluster.loop), fresh(cluster.loop);
   fresh.script = [](Party::Peer& peer) { peer.Answer(200, "new"); };
   moved.script = [&](Party::Peer& peer) {
-    const std::string line = ListText(9, true, {ServerLine("s2", fresh.address())}) + "\n";
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
+    peer.Reply(ListResponse(ListText(9, true, {ServerLine("s2", fresh.address())})));
   };
   for (const int number : {old, next}) {
     const std::string file = (cluster.folder / ("config" + std::to_string(number) + ".json")).string();
@@ -227,7 +224,7 @@
   }
   cluster.SignalProcess(old, SIGTERM);
   REQUIRE(cluster.loop.RunUntil([&] { return moved.requests >= 1; }, 5s));
-  cluster.loop.RunUntil([] { return false; }, 300ms);
+  cluster.Wait(300ms);
   for (int i = 0; i < 5; ++i) CHECK(cluster.SendRequest() == 200);
   CHECK(fresh.requests >= 5);
   CHECK(cluster.WaitForExit(old) == 0);
@@ -292,7 +289,7 @@
   cluster.server.script = [](Party::Peer& peer) { peer.Answer(200, "ok"); };
   for (int i = 0; i < 3; ++i) send_request();
   REQUIRE(cluster.loop.RunUntil([&] { return clients.back()->up; }, 3s));
-  cluster.loop.RunUntil([] { return false; }, 100ms);  // time for a process that would accept them too early
+  cluster.Wait(100ms);  // time for a process that would accept them too early
   const int next = cluster.Start("run", R"({"sockets":64})");
   REQUIRE(cluster.WaitUntilReady(next));
   cluster.SignalProcess(old, SIGTERM);
@@ -379,7 +376,7 @@
     send_and_leave("during" + std::to_string(i));
   }
   cluster.SignalProcess(old_process, SIGTERM);
-  cluster.loop.RunUntil([] { return false; }, 100ms);
+  cluster.Wait(100ms);
   send_and_leave("before");
   for (const auto& [id, count] : runs) {
     CAPTURE(id);
@@ -406,11 +403,11 @@
   REQUIRE(runs == 1);
   cluster.SignalProcess(old_process, SIGSTOP);
   const int new_process = cluster.Start();
-  cluster.loop.RunUntil([] { return false; }, 700ms);  // longer than it waits for a reply
+  cluster.Wait(700ms);  // longer than it waits for a reply
   cluster.SignalProcess(old_process, SIGCONT);
   REQUIRE(cluster.WaitUntilReady(new_process));
   cluster.SignalProcess(old_process, SIGTERM);
-  cluster.loop.RunUntil([] { return false; }, 100ms);
+  cluster.Wait(100ms);
   send_and_leave();
   CHECK(runs == 1);
 }
--- a/tests/net/busy_discovery.h
+++ b/tests/net/busy_discovery.h
@@ -47,11 +47,7 @@
   static constexpr Span kTick = std::chrono::milliseconds(10);
   static constexpr Span kHeartbeat = std::chrono::seconds(1);
 
-  static std::string Chunk(const std::string& text) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-  }
+  static std::string Chunk(const std::string& text) { return WriteBodyPart(text, {std::nullopt, true}); }
 
   void OnCall(Party::Peer& peer) { queue_.push_back({&peer, Clock::now(), work_}); }
 
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -332,9 +332,7 @@
       {Replaced(cold, "\"started_ms\":0",
                 "\"started_ms\":" +
                     std::to_string(std::chrono::floor<std::chrono::milliseconds>(started).count()))});
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
-  for (Party::Peer* watch : watches) watch->Reply(size + line + "\n\r\n");
+  for (Party::Peer* watch : watches) watch->Reply(ListChunk(line));
   const Time start = Clock::now();
   burst = true;
   run(6s, 10);
--- a/tests/net/process_site.h
+++ b/tests/net/process_site.h
@@ -47,11 +47,7 @@
     loop.RunUntil([] { return false; }, time);
   }
   // Reports a change of the server list.
-  void Tell(const std::string& line) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
-    watch->Reply(size + line + "\n\r\n");
-  }
+  void Tell(const std::string& line) { watch->Reply(ListChunk(line)); }
   Message Ask(const std::string& request) {
     Client client(loop, *ParseAddress(listen_address));
     client.Send(request);
--- a/tests/net/site.h
+++ b/tests/net/site.h
@@ -85,6 +85,13 @@
   return R"({"version":)" + std::to_string(version) + R"(,"full":)" + (full ? "true" : "false") +
          R"(,"servers":[)" + all + "]}";
 }
+// A line of discovery's response, as it writes it on a watch, and the beginning of a response with it.
+inline std::string ListChunk(const std::string& line) {
+  return WriteBodyPart(line + "\n", {std::nullopt, true});
+}
+inline std::string ListResponse(const std::string& line) {
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + ListChunk(line);
+}
 inline std::string Look(const std::string& time = "4000", const std::string& id = "a1") {
   return "GET /api?lot=7 HTTP/1.1\r\nHost: s\r\nX-Request-ID: " + id +
          "\r\nX-Priority-Class: look\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: " + time + "\r\n\r\n";
@@ -125,11 +132,7 @@
   void Script(std::function<void(Party::Peer&)> script) {
     for (auto& server : real) server->script = script;
   }
-  void Tell(const std::string& line) {
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", line.size() + 1);
-    watch->Reply(size + line + "\n\r\n");
-  }
+  void Tell(const std::string& line) { watch->Reply(ListChunk(line)); }
   int Requests() const {
     int all = 0;
     for (const auto& server : real) all += server->requests;
--- a/tests/net/watch_test.cpp
+++ b/tests/net/watch_test.cpp
@@ -8,11 +8,7 @@
 namespace umberdyke::net {
 namespace {
 
-std::string Chunk(const std::string& text) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-  return size + text + "\r\n";
-}
+std::string Chunk(const std::string& text) { return WriteBodyPart(text, {std::nullopt, true}); }
 
 const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -156,12 +156,7 @@
                     classes + R"({"name":"unsafe","semantics":"side_effect","target_us":1500000,
                                  "hard_limit_us":4000000,"points":2},)");
   }
-  void TellWholeList(Party::Peer& peer) {
-    const std::string line = ListText(9, true, server_lines_) + "\n";
-    char size[16];
-    std::snprintf(size, sizeof size, "%zx\r\n", line.size());
-    peer.Reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + (size + line) + "\r\n");
-  }
+  void TellWholeList(Party::Peer& peer) { peer.Reply(ListResponse(ListText(9, true, server_lines_))); }
   void PlayLoad(Span time) {
     const Time end = Clock::now() + time;
     while (Clock::now() < end) {
