--- a/review/kit-2/rig.h
+++ b/review/kit-2/rig.h
@@ -453,6 +453,14 @@
   int aim_ms = 1500, deadline_ms = 4000;  // of both classes
 };
 
+// New with each start, as the platform's.
+inline std::string Seed() {
+  char text[32];
+  const auto now = std::chrono::system_clock::now().time_since_epoch().count();
+  snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(now) * 2654435761ULL);
+  return text;
+}
+
 inline std::string Config(const Settings& s, int listen, int discovery, int console = 0) {
   std::string zones;
   for (const std::string& zone : s.zones) zones += (zones.empty() ? "\"" : ",\"") + zone + "\"";
@@ -462,7 +470,7 @@
   return "{\"name\":\"n1\",\"listen\":\"" + AddressText(listen) + "\",\"discovery\":\"" +
          AddressText(discovery) + "\"," +
          (console > 0 ? "\"console\":\"" + AddressText(console) + "\"," : std::string()) +
-         "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
+         "\"seed\":\"" + Seed() + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":" +
          std::to_string(s.memory_mb) + ",\"sockets\":" + std::to_string(s.sockets) +
          "},\"known\":" + ListText(1, true, s.known) +
          ",\"settings\":{\"tier\":0,\"tiers\":[\"front\",\"ledger\"],\"family\":\"chain\",\"balancers\":4,\"me\":0,"
