Take ports for sidecars below those that the system gives to clients

A port that was free when it was drawn could be given to a connection of another process before the sidecar listened.

--- a/review/kit-2/rig.h
+++ b/review/kit-2/rig.h
@@ -156,11 +156,20 @@
   return fd;
 }
 
-// A port that is free now, for a process that binds it itself.
+// A port that is free now, for a process that binds it itself; below those that the system gives to clients.
 inline int FreePort() {
-  int port = 0;
-  close(Listen(0, &port));
-  return port;
+  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 37};
+  for (int tries = 0; tries < 2000; ++tries) {
+    const int port = 20000 + static_cast<int>((next += 7) % 11000);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in address = Loopback(port);
+    const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (free) return port;
+  }
+  Finish(kCouldNotRun, "no free port");
 }
 
 inline int Connect(int port) {
