Keep the time limits of flows in a class of their own

Cause: FlowAdmission created flows, and also decided when they end by time, with a margin, a final deadline and a body that is held back; the end of a response that is passed on stood elsewhere. Change: FlowDeadlines has the timer and the rule; FlowAdmission only creates flows. No change of behaviour.

--- /dev/null
+++ b/src/flow/flow_deadlines.cpp
@@ -0,0 +1,50 @@
+#include "flow/flow_deadlines.h"
+
+#include <algorithm>
+
+namespace umberdyke::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Span kClientTransitTime = 2ms;  // assumed: the client's timeout started this long ago
+constexpr Span kDeadlineMargin = 4ms;     // time before the deadline at which a response is forced
+
+}  // namespace
+
+void FlowDeadlines::OnAdmitted(Flow& flow) const {
+  flow.deadline_timer = std::make_unique<Timer>(loop_, [this, id = flow.id] { on_end_(id); });
+  flow.deadline = flow.admitted + flow.request.time_left;
+  if (!flow.receiving_body) OnRequestReceived(flow);
+}
+
+void FlowDeadlines::OnRequestReceived(Flow& flow) const {
+  flow.receiving_body = false;
+  flow.received = flow.request.streaming_body ? flow.edge->earliest_body_end() : Clock::now();
+  flow.deadline = flow.received + flow.request.time_left - kClientTransitTime;
+  StartTimer(flow);
+}
+
+bool FlowDeadlines::OnBodyHeldBack(Flow& flow) const {
+  flow.deadline = flow.edge->earliest_body_end() + flow.request.time_left - kClientTransitTime;
+  StartTimer(flow);
+  return flow.deadline - kDeadlineMargin > Clock::now();
+}
+
+bool FlowDeadlines::IsOver(Flow& flow) const {
+  return !flow.receiving_body || !OnBodyHeldBack(flow);  // more of the body may have been read since
+}
+
+void FlowDeadlines::StartTimer(Flow& flow) const {
+  flow.deadline = std::min(flow.deadline, final_deadline_);
+  flow.deadline_timer->Start(std::max<Span>(flow.deadline - kDeadlineMargin - Clock::now(), 0ms));
+}
+
+void FlowDeadlines::SetFinalDeadline(Time deadline) {
+  final_deadline_ = deadline;
+  flows_.ForEach([this](Flow& flow) {
+    if (!flow.receiving_body && flow.state != Flow::State::kResponded) StartTimer(flow);
+  });
+}
+
+}  // namespace umberdyke::net
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -49,9 +49,9 @@
       decisions_(loop, config_, counters_, *this),
       request_intake_(platform_, counters_,
                       [this](int request_class) { flow_recorder_.CountInvalidRequest(request_class); }),
-      flow_admission_(
-          loop, flows_, repeat_guard_, counters_, [this](FlowId flow) { OnFinalDeadline(flow); },
-          [this](int request_class) { flow_recorder_.CountInvalidRequest(request_class); }),
+      flow_deadlines_(loop, flows_, [this](FlowId flow) { OnFlowDeadline(flow); }),
+      flow_admission_(flows_, flow_deadlines_, repeat_guard_, counters_,
+                      [this](int request_class) { flow_recorder_.CountInvalidRequest(request_class); }),
       attempt_router_(server_list_, config_.settings),
       attempt_sender_(
           servers_, attempt_router_, platform_, metrics_, counters_, config_.settings.parallel_attempts,
@@ -426,7 +426,7 @@
   if (replaced()) listener_.Close();  // the other process accepts the queued connections
   const Time now = Clock::now();
   last_request_at_ = now + LastRequestDelay(config_.settings);
-  flow_admission_.SetFinalDeadline(now + LastResponseDelay(config_.settings));
+  flow_deadlines_.SetFinalDeadline(now + LastResponseDelay(config_.settings));
   close_timer_.Start(GracePeriod(config_.settings));
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -13,6 +13,7 @@
 #include "flow/book.h"
 #include "flow/decisions.h"
 #include "flow/flow.h"
+#include "flow/flow_deadlines.h"
 #include "flow/relay.h"
 #include "flow/repeat_guard.h"
 #include "flow/route.h"
@@ -98,7 +99,7 @@
   void OnAttemptEnd(AttemptResult result);
   bool RespondWith(Flow& flow, const AttemptResult& result);
   void ReportConnectionResult(ServerId server, Outcome outcome);
-  void OnFinalDeadline(FlowId flow);
+  void OnFlowDeadline(FlowId flow);
   void Tick();
   void UpdateGauges();
   void StartClosing();
@@ -144,7 +145,8 @@
   RealServers servers_;
   Decisions decisions_;
   const RequestIntake request_intake_;
-  FlowAdmission flow_admission_;
+  FlowDeadlines flow_deadlines_;
+  const FlowAdmission flow_admission_;
   const AttemptRouter attempt_router_;
   AttemptSender attempt_sender_;
   const ResponseWriter response_writer_;
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -22,21 +22,21 @@
   if (handover_ && handover_->has_other_process()) handover_->ReceiveAnnouncements();
   Flow* flow = flow_admission_(edge, std::move(*request));
   if (flow == nullptr) return;
-  if (long_body && edge.body_received()) flow_admission_.OnBodyReceived(*flow);
+  if (long_body && edge.body_received()) flow_deadlines_.OnRequestReceived(*flow);
   decisions_.OnNewFlow(*flow);
 }
 
 void Sidecar::OnBodyData(EdgeConnection& edge) {
   Flow* flow = flows_.Find(edge.flow);
   if (flow == nullptr) return;
-  if (edge.body_received() && flow->receiving_body) flow_admission_.OnBodyReceived(*flow);
+  if (edge.body_received() && flow->receiving_body) flow_deadlines_.OnRequestReceived(*flow);
   attempt_sender_.ForwardBody(*flow);
 }
 
 void Sidecar::OnBodyHeldBack(EdgeConnection& edge) {
   Flow* flow = flows_.Find(edge.flow);
   if (flow != nullptr && flow->receiving_body && flow->state != Flow::State::kResponded)
-    flow_admission_.OnBodyHeldBack(*flow);
+    flow_deadlines_.OnBodyHeldBack(*flow);
 }
 
 void Sidecar::OnWritable(EdgeConnection& edge) {
@@ -158,10 +158,9 @@
 
 // The decision module has not ended the flow by its final deadline: send a failure response, then notify the
 // module.
-void Sidecar::OnFinalDeadline(FlowId id) {
+void Sidecar::OnFlowDeadline(FlowId id) {
   Flow* flow = flows_.Find(id);
-  if (flow == nullptr) return;
-  if (flow->receiving_body && flow_admission_.OnBodyHeldBack(*flow)) return;  // more was read since
+  if (flow == nullptr || !flow_deadlines_.IsOver(*flow)) return;
   counters_.Add("flows_last_call");
   flow_recorder_.CloseFlow(id, response_writer_.SendFailure(*flow, ClosesAfterResponse(*flow)),
                            FlowEndCause::kFinalDeadline);
