Share the test site with one paced server

Need: the tests of how responses end want the site of the tests of long bodies. It moves into a header of its own; its checks are as they were. PacedClient also keeps the end of what it received, and whether its connection was reset.

--- a/tests/net/long_body_process_test.cpp
+++ b/tests/net/long_body_process_test.cpp
@@ -2,35 +2,11 @@
 // servers.
 #include <catch2/catch.hpp>
 
-#include "net/paced_peers.h"
-#include "net/process_site.h"
+#include "net/paced_site.h"
 
 namespace umberdyke::net {
 namespace {
 
-constexpr Span kGrace = 500ms;  // a request is lost if its answer comes later than this after its time
-
-// Two paced servers beside the site's own, which drains; a limit of memory with 1,024 descriptors.
-struct LongBodySite : ProcessSite {
-  explicit LongBodySite(int memory_mb)
-      : ProcessSite("long-body",
-                    [memory_mb](std::string* config) {
-                      const std::string sockets = "\"sockets\":1024";
-                      *config = Replaced(*config, sockets,
-                                         "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
-                      const std::string classes = "\"request_classes\":[";
-                      *config =
-                          Replaced(*config, classes, classes + R"({"name":"unsafe","semantics":"side_effect",
-                                         "target_us":1500000,"hard_limit_us":4000000,"points":2},)");
-                    }),
-        paced(loop) {
-    REQUIRE(loop.RunUntil([this] { return watch != nullptr; }, 5s));
-    Tell(ListText(2, true, {ServerLine("paced", paced.address())}));
-    Wait(50ms);
-  }
-  PacedServer paced;
-};
-
 // Fails if the limit for a pause in a response that is held whole cuts off one that is longer.
 TEST_CASE("a long response whose body begins long after its head is passed on whole", "[long]") {
   constexpr size_t kLength = 145'269;
@@ -38,7 +14,7 @@
   const int memory_mb = GENERATE(32, 192);
   const Span pause = GENERATE(Span(300ms), Span(900ms), Span(1800ms));
   CAPTURE(memory_mb, pause.count());
-  LongBodySite site(memory_mb);
+  PacedSite site(memory_mb);
   site.paced.on_request = [&](PacedServer::Peer& peer) {
     peer.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kLength) + "\r\n\r\n");
     for (size_t at = 0, i = 0; at < kLength; at += kPiece, ++i) {
@@ -52,7 +28,7 @@
   site.loop.RunUntil([&] { return client.received > kLength || client.ended_at; }, 6s);
   CHECK(client.status() == 200);
   CHECK(client.received > kLength);
-  CHECK(client.first_byte_at.value_or(Time::max()) - *client.written_at < 2500ms + kGrace);
+  CHECK(client.first_byte_at.value_or(Time::max()) - *client.written_at < 2500ms + kLatestAnswer);
   CHECK(site.paced.requests == 1);
 }
 
@@ -75,7 +51,7 @@
       SlowlyReadRequest{198'775, 0, 0, 5'860, 60}, SlowlyReadRequest{2'500'000, 0, 109'167, kNoLimit, 12},
       SlowlyReadRequest{300'000, 601'000, 400'000, kNoLimit, 1});
   CAPTURE(memory_mb, slow.length, slow.read_per_second, slow.clients);
-  LongBodySite site(memory_mb);
+  PacedSite site(memory_mb);
   site.paced.bytes_per_second = slow.read_per_second;
   site.paced.stop_after = slow.stop_after;
   site.paced.on_request = [](PacedServer::Peer& peer) { peer.Write(WriteResponse(200, {}, "ok", true)); };
@@ -91,8 +67,8 @@
   int late = 0;
   for (const auto& client : clients) {
     REQUIRE((client->written_at || client->first_byte_at));
-    const Time due =
-        client->written_at.value_or(Time::max() - 10s) + std::chrono::milliseconds(kTimeoutMs) + kGrace;
+    const Time due = client->written_at.value_or(Time::max() - 10s) + std::chrono::milliseconds(kTimeoutMs) +
+                     kLatestAnswer;
     if (!client->first_byte_at || *client->first_byte_at > due) ++late;
   }
   CHECK(late == 0);
@@ -104,7 +80,7 @@
 
 // Fails if the time limit that an interim response started goes on for the final one.
 TEST_CASE("a final response long after an interim response in two parts is passed on", "[long]") {
-  LongBodySite site(32);
+  PacedSite site(32);
   site.paced.on_request = [&](PacedServer::Peer& peer) {
     peer.Write("HTTP/1.1 102 Proces");
     site.After(100ms, [&peer] { peer.Write("sing\r\n\r\n"); });
@@ -119,18 +95,18 @@
 // Fails if a client waits for seconds for a short response that has fallen silent.
 TEST_CASE("a response without a length that falls silent is cut soon after its time", "[long]") {
   constexpr Span kTime = 2500ms;
-  LongBodySite site(32);
+  PacedSite site(32);
   site.paced.on_request = [](PacedServer::Peer& peer) {
     peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nr\r\n");
   };
   PacedClient client(site.loop, *ParseAddress(site.listen_address), Look("2500", "silent"), 0);
   REQUIRE(site.loop.RunUntil([&] { return client.ended_at.has_value(); }, 8s));
-  CHECK(*client.ended_at - *client.written_at < kTime + kGrace);
+  CHECK(*client.ended_at - *client.written_at < kTime + kLatestAnswer);
 }
 
 // Fails if a connection on which reading has paused for a slow client is used again without being read.
 TEST_CASE("a connection whose response made its client lag carries the next request", "[long]") {
-  LongBodySite site(32);
+  PacedSite site(32);
   site.paced.on_request = [](PacedServer::Peer& peer) {
     const bool first = *peer.request.Find("X-Request-ID") == "lag";
     peer.Write(WriteResponse(200, {}, std::string(first ? 3'400'000 : 2, 'r'), true));
--- a/tests/net/paced_peers.h
+++ b/tests/net/paced_peers.h
@@ -5,6 +5,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <functional>
 #include <limits>
 #include <memory>
@@ -106,20 +107,30 @@
     if (!first_byte_at) first_byte_at = Clock::now();
     received += bytes.size();
     if (kept.size() < kKeptBytes) kept.append(bytes.substr(0, kKeptBytes));
+    tail.append(bytes.substr(bytes.size() - std::min(bytes.size(), kTailBytes)));
+    tail.erase(0, tail.size() - std::min(tail.size(), kTailBytes));
   }
   void OnWritten(bool) override { NoteWritten(); }
-  void OnEnd() override { ended_at = Clock::now(); }
+  void OnEnd() override {
+    ended_at = Clock::now();
+    closed_cleanly = stream.closed_cleanly();
+  }
+  // Whether a chunked response has come to its end.
+  bool HasLastChunk() const { return tail.ends_with("0\r\n\r\n"); }
   int status() const { return kept.size() > 12 ? std::atoi(kept.c_str() + 9) : 0; }
 
   Stream stream;
   bool reads = true;
   std::optional<Time> written_at, first_byte_at, ended_at;
   size_t received = 0;
-  std::string kept;  // the beginning of what was received
+  std::string kept;             // the beginning of what was received
+  std::string tail;             // its end
+  bool closed_cleanly = false;  // not reset
 
  private:
   static constexpr size_t kPiece = 16 * 1024;
   static constexpr size_t kKeptBytes = 1024;
+  static constexpr size_t kTailBytes = 8;
   void NoteWritten() {
     if (at_ >= bytes_.size() && stream.unwritten() == 0 && !written_at) written_at = Clock::now();
   }
