End a response that is passed on by its client's time while it is short

Callers saw: a chunked response that brings some bytes each 0.3 s had no end; its client waited for good. Cause: BeginStreaming stopped the flow's timer, and each piece started a new pause limit of at least a second, so that any progress put the end off. Nothing on the way asked for the client's time. Ruled out: the attempt's time (already over at 1.5 s and the response went on), the client's connection (nothing unwritten on it). Change: the flow's one timer goes on while a response is passed on. Up to 64 KiB, announced or arrived, it is cut 0.3 s after the client's time, visibly.

--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -10,6 +10,7 @@
 #include <unordered_set>
 
 #include "edge/edge_connection.h"
+#include "flow/response_deadline.h"
 #include "loop/loop.h"
 #include "platform/platform.h"
 
@@ -33,13 +34,15 @@
   Time deadline{};   // when the client gives up
   int attempts = 0;  // started so far
   int attempts_in_flight = 0;
-  bool may_have_run = false;      // an ended attempt may have executed the request
-  bool receiving_body = false;    // the streaming body has not fully arrived
-  bool body_partly_sent = false;  // part of the body was forwarded: the request can't be resent
-  bool body_sent = false;         // all of the body was forwarded
-  Span attempt_timeout{};         // of the current attempt, from the request's last byte on
-  std::optional<int> passed_on;   // the attempt whose streaming response has begun to reach the client
-  int unfit_status = 0;           // status of a real server that found the request invalid; 0: none
+  bool may_have_run = false;           // an ended attempt may have executed the request
+  bool receiving_body = false;         // the streaming body has not fully arrived
+  bool body_partly_sent = false;       // part of the body was forwarded: the request can't be resent
+  bool body_sent = false;              // all of the body was forwarded
+  Span attempt_timeout{};              // of the current attempt, from the request's last byte on
+  std::optional<int> passed_on;        // the attempt whose streaming response has begun to reach the client
+  ResponseDeadline response_deadline;  // of the response that is passed on
+  bool response_overdue = false;       // the response was given up on, as its time was over
+  int unfit_status = 0;                // status of a real server that found the request invalid; 0: none
   std::unique_ptr<Timer> deadline_timer;
 
   void Close() {
--- a/src/flow/flow_deadlines.cpp
+++ b/src/flow/flow_deadlines.cpp
@@ -31,13 +31,42 @@
   return flow.deadline - kDeadlineMargin > Clock::now();
 }
 
+void FlowDeadlines::OnResponseBegun(Flow& flow, const Message& head) const {
+  flow.response_deadline.Begin(flow.deadline, head.content_length);
+  StartTimer(flow);
+}
+
+void FlowDeadlines::OnResponseBody(Flow& flow, size_t bytes) const {
+  flow.response_deadline.OnBody(bytes);  // it only puts the end off, so the timer need not be restarted
+}
+
+void FlowDeadlines::OnResponsePaused(Flow& flow) const {
+  flow.response_deadline.Pause(Clock::now());
+  StartTimer(flow);
+}
+
+void FlowDeadlines::OnResponseResumed(Flow& flow) const {
+  flow.response_deadline.Resume(Clock::now());
+  StartTimer(flow);
+}
+
 bool FlowDeadlines::IsOver(Flow& flow) const {
-  return !flow.receiving_body || !OnBodyHeldBack(flow);  // more of the body may have been read since
+  if (flow.receiving_body) return !OnBodyHeldBack(flow);  // more of the body may have been read since
+  if (!flow.passed_on || Clock::now() >= EndOf(flow)) return true;
+  StartTimer(flow);
+  return false;
+}
+
+// The one rule: until a response begins, the client's time; from then on, that of the response.
+Time FlowDeadlines::EndOf(const Flow& flow) {
+  return flow.passed_on ? flow.response_deadline.end() : flow.deadline - kDeadlineMargin;
 }
 
 void FlowDeadlines::StartTimer(Flow& flow) const {
   flow.deadline = std::min(flow.deadline, final_deadline_);
-  flow.deadline_timer->Start(std::max<Span>(flow.deadline - kDeadlineMargin - Clock::now(), 0ms));
+  const Time end = EndOf(flow);
+  if (end == Time::max()) return flow.deadline_timer->Stop();
+  flow.deadline_timer->Start(std::max<Span>(end - Clock::now(), 0ms));
 }
 
 void FlowDeadlines::SetFinalDeadline(Time deadline) {
--- a/src/flow/flow_deadlines.h
+++ b/src/flow/flow_deadlines.h
@@ -22,12 +22,19 @@
   // The client may have written all of a streaming body, which is not read on: the time of the request runs
   // from its earliest end. Returns false if that time is over.
   bool OnBodyHeldBack(Flow& flow) const;
+  // The head of a response has been passed on: its end counts from now on.
+  void OnResponseBegun(Flow& flow, const Message& head) const;
+  void OnResponseBody(Flow& flow, size_t bytes) const;
+  // The response is not read while its client lags.
+  void OnResponsePaused(Flow& flow) const;
+  void OnResponseResumed(Flow& flow) const;
   // For a flow whose timer has fired: whether its time is over. If not, the timer is started anew.
   bool IsOver(Flow& flow) const;
-  // For shutdown: all flows, open and future, are answered before `deadline`.
+  // For shutdown: all flows, open and future, have a response or the beginning of one before `deadline`.
   void SetFinalDeadline(Time deadline);
 
  private:
+  static Time EndOf(const Flow& flow);
   void StartTimer(Flow& flow) const;
 
   Loop& loop_;
--- a/src/flow/flow_log.cpp
+++ b/src/flow/flow_log.cpp
@@ -61,6 +61,8 @@
       return "a server's response";
     case FlowEndCause::kResponseBroke:
       return "the response broke on its way";
+    case FlowEndCause::kResponseOverdue:
+      return "the response was not complete in time";
     case FlowEndCause::kModuleRejected:
       return "rejected by the decision module";
     case FlowEndCause::kModuleFailed:
--- a/src/flow/flow_log.h
+++ b/src/flow/flow_log.h
@@ -14,16 +14,17 @@
 
 // Why a flow ended.
 enum class FlowEndCause {
-  kResponse,        // a real server's response was relayed
-  kResponseBroke,   // a streaming response broke on its way
-  kModuleRejected,  // the decision module rejected it
-  kModuleFailed,    // the decision module gave it up
-  kFinalDeadline,   // the decision module had not ended it by its deadline
-  kMalformedBody,   // its streaming body turned out malformed
-  kSlowBody,        // its streaming body did not arrive in time
-  kClientGone,      // its client closed the connection
-  kClientStalled,   // its client read nothing of the response for too long
-  kWriteFailed,     // its response could not be written
+  kResponse,         // a real server's response was relayed
+  kResponseBroke,    // a streaming response broke on its way
+  kResponseOverdue,  // a streaming response was not complete in time
+  kModuleRejected,   // the decision module rejected it
+  kModuleFailed,     // the decision module gave it up
+  kFinalDeadline,    // the decision module had not ended it by its deadline
+  kMalformedBody,    // its streaming body turned out malformed
+  kSlowBody,         // its streaming body did not arrive in time
+  kClientGone,       // its client closed the connection
+  kClientStalled,    // its client read nothing of the response for too long
+  kWriteFailed,      // its response could not be written
 };
 
 // The cause of the end of a flow that is open when its client's connection ends.
--- a/src/flow/relay.cpp
+++ b/src/flow/relay.cpp
@@ -21,7 +21,6 @@
   INVARIANT(flow.state != Flow::State::kResponded && !flow.receiving_body, counters_);
   counters_.Add("flows_served_long");
   flow.state = Flow::State::kResponded;
-  flow.deadline_timer->Stop();
   const Framing framing = Platform::FramingOf(head, flow.request.message.accepts_chunked);
   const bool keep = KeepAlive(flow, draining) && (framing.content_length || framing.chunked);
   return flow.edge->BeginResponse(platform_.SuccessHead(head, framing, keep), framing, keep);
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -87,6 +87,10 @@
   }
 }
 
+void AttemptSender::BreakResponse(const Flow& flow) {
+  if (const Attempt* attempt = PassedOnAttempt(flow); attempt != nullptr) servers_.Break(attempt->exchange);
+}
+
 void AttemptSender::Cancel(FlowId flow, int attempt) {
   const auto it = attempts_.find({flow, attempt});
   if (it == attempts_.end()) return;
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -56,6 +56,8 @@
   // Backpressure: stops or resumes reading the response that is passed on while the client lags.
   void PauseResponse(const Flow& flow);
   void ResumeResponse(const Flow& flow);
+  // Gives up on the response that is passed on: its attempt ends as if the connection had broken.
+  void BreakResponse(const Flow& flow);
   // Ends the attempt at once; does nothing if it has already ended.
   void Cancel(FlowId flow, int attempt);
   // The client is gone: cancels the attempts whose request is not fully written.
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -319,6 +319,10 @@
   done({code, std::move(response), latency, use});
 }
 
+void RealServers::Break(ExchangeId id) {
+  if (const auto it = exchanges_.find(id); it != exchanges_.end()) End(*it->second, Code::kReset);
+}
+
 std::optional<CancelledExchange> RealServers::Cancel(ExchangeId id) {
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end()) return std::nullopt;
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -111,6 +111,8 @@
   // Backpressure for a streaming response: stops and restarts reading from the real server.
   void PauseResponse(ExchangeId exchange);
   void ResumeResponse(ExchangeId exchange);
+  // Gives up on the response of an exchange, which ends with kReset as if its connection had broken.
+  void Break(ExchangeId exchange);
   // Closes the exchange's connection; on_done is not called. Returns nothing for an exchange that has already
   // ended.
   std::optional<CancelledExchange> Cancel(ExchangeId exchange);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -96,6 +96,7 @@
   const Flow* FindFlowWithClient(FlowId flow);
   void OnResponseHead(FlowId flow, int attempt, const Message& head);
   void OnResponseData(FlowId flow, int attempt, std::string piece);
+  void PauseResponse(Flow& flow);
   void OnAttemptEnd(AttemptResult result);
   bool RespondWith(Flow& flow, const AttemptResult& result);
   void ReportConnectionResult(ServerId server, Outcome outcome);
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -40,7 +40,10 @@
 }
 
 void Sidecar::OnWritable(EdgeConnection& edge) {
-  if (const Flow* flow = flows_.Find(edge.flow); flow != nullptr) attempt_sender_.ResumeResponse(*flow);
+  Flow* flow = flows_.Find(edge.flow);
+  if (flow == nullptr || !flow->passed_on) return;
+  flow_deadlines_.OnResponseResumed(*flow);
+  attempt_sender_.ResumeResponse(*flow);
 }
 
 // A streaming body may turn out malformed or too slow after its flow began: the flow ends with the error
@@ -108,7 +111,9 @@
   const bool ok = result.outcome == Outcome::kOk;
   if (flow.passed_on) {
     const FlowEnd end = ok ? response_writer_.FinishStreaming(flow) : response_writer_.AbortStreaming(flow);
-    flow_recorder_.CloseFlow(result.flow, end, ok ? FlowEndCause::kResponse : FlowEndCause::kResponseBroke);
+    const FlowEndCause broke =
+        flow.response_overdue ? FlowEndCause::kResponseOverdue : FlowEndCause::kResponseBroke;
+    flow_recorder_.CloseFlow(result.flow, end, ok ? FlowEndCause::kResponse : broke);
     return true;
   }
   if (result.outcome == Outcome::kUnfit) flow.unfit_status = result.response.status;
@@ -124,14 +129,21 @@
   if (flow == nullptr || flow->passed_on) return attempt_sender_.Cancel(id, attempt);
   flow->passed_on = attempt;
   decisions_.OnResponseStart(id, attempt);
-  if (!response_writer_.BeginStreaming(*flow, head, ClosesAfterResponse(*flow)))
-    attempt_sender_.PauseResponse(*flow);
+  flow_deadlines_.OnResponseBegun(*flow, head);
+  if (!response_writer_.BeginStreaming(*flow, head, ClosesAfterResponse(*flow))) PauseResponse(*flow);
 }
 
 void Sidecar::OnResponseData(FlowId id, int attempt, std::string piece) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr || flow->passed_on != attempt) return attempt_sender_.Cancel(id, attempt);
-  if (!response_writer_.StreamData(*flow, std::move(piece))) attempt_sender_.PauseResponse(*flow);
+  flow_deadlines_.OnResponseBody(*flow, piece.size());
+  if (!response_writer_.StreamData(*flow, std::move(piece))) PauseResponse(*flow);
+}
+
+// Its client lags: OnWritable follows.
+void Sidecar::PauseResponse(Flow& flow) {
+  flow_deadlines_.OnResponsePaused(flow);
+  attempt_sender_.PauseResponse(flow);
 }
 
 void Sidecar::RejectFlow(FlowId id, std::chrono::microseconds retry_after) {
@@ -156,11 +168,16 @@
   }
 }
 
-// The decision module has not ended the flow by its final deadline: send a failure response, then notify the
-// module.
+// A response that is passed on is cut, visibly. Otherwise the decision module has not ended the flow by its
+// final deadline: send a failure response, then notify the module.
 void Sidecar::OnFlowDeadline(FlowId id) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr || !flow_deadlines_.IsOver(*flow)) return;
+  if (flow->passed_on) {
+    counters_.Add("answers_overdue");
+    flow->response_overdue = true;
+    return attempt_sender_.BreakResponse(*flow);
+  }
   counters_.Add("flows_last_call");
   flow_recorder_.CloseFlow(id, response_writer_.SendFailure(*flow, ClosesAfterResponse(*flow)),
                            FlowEndCause::kFinalDeadline);
--- /dev/null
+++ b/tests/net/response_end_process_test.cpp
@@ -0,0 +1,64 @@
+// Tests that a real process ends each response that it passes on: by its client's time, or once nothing more
+// comes of a long one; and that it passes on what a server still gives.
+#include <catch2/catch.hpp>
+
+#include "net/paced_site.h"
+
+namespace umberdyke::net {
+namespace {
+
+constexpr Span kSocketSlack = 50ms;
+constexpr Span kWorkTime = 100ms;  // of the server, before its response
+
+// A response that a server gives piece by piece.
+struct PacedResponse {
+  std::string head;
+  bool chunked;
+  size_t piece;
+  Span interval;
+  int pieces;  // 0: it never ends
+};
+
+const std::string kChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kUnframedHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+// Gives the next piece, and the others after it, for as long as the connection is open.
+void WritePieces(PacedSite& site, PacedServer::Peer& peer, const PacedResponse& response, int written) {
+  if (!peer.stream.open()) return;
+  const Framing framing{std::nullopt, response.chunked};
+  if (response.pieces > 0 && written == response.pieces) return peer.Write(WriteBodyEnd(framing));
+  peer.Write(WriteBodyPart(std::string(response.piece, 'r'), framing));
+  site.After(response.interval,
+             [&site, &peer, &response, written] { WritePieces(site, peer, response, written + 1); });
+}
+
+void Serve(PacedSite& site, const PacedResponse& response) {
+  site.paced.on_request = [&site, &response](PacedServer::Peer& peer) {
+    site.After(kWorkTime, [&site, &peer, &response] {
+      peer.Write(response.head);
+      WritePieces(site, peer, response, 0);
+    });
+  };
+}
+
+// Fails if the pieces of a response each put off its end, so that its client never has one.
+TEST_CASE("a short response that keeps on coming is cut soon after its client's time", "[response-end]") {
+  const auto response =
+      GENERATE(PacedResponse{kChunkedHead, true, 64, 300ms, 0}, PacedResponse{kChunkedHead, true, 1, 20ms, 0},
+               PacedResponse{kUnframedHead, false, 64, 300ms, 0},
+               PacedResponse{"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n", false, 64, 100ms, 0});
+  const int timeout_ms = GENERATE(600, 2500);
+  CAPTURE(response.head, response.piece, timeout_ms);
+  PacedSite site(32);
+  Serve(site, response);
+  PacedClient client(site.loop, *ParseAddress(site.listen_address), Look(std::to_string(timeout_ms), "drip"),
+                     0);
+  const Span latest = std::chrono::milliseconds(timeout_ms) + kLatestAnswer + kSocketSlack;
+  site.loop.RunUntil([&] { return client.ended_at || client.status() > 200; }, latest);
+  CHECK((client.ended_at || client.status() > 200));
+  CHECK_FALSE(client.HasLastChunk());
+  CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
+}
+
+}  // namespace
+}  // namespace umberdyke::net
