Leave the end of a response that is passed on to its client's time alone

Callers saw: a chunked response whose server paused for 2.8 s after 20 KiB was cut 2.5 s after a request of 4 s, while its server went on. Cause: beside the flow's timer, RealServers limited each pause of a response that it streams; for one without a length, of which at most 64 KiB had come, by the attempt's time and 1 s more. The attempt's time is the class's aim (1.5 s here), at which nothing is due any more once the response has begun. Change: an exchange that streams its response has no time limit; the flow's rule ends it. It takes over the limit of 10 s of silence for long responses, and asks them for 4 KiB a second on average after the client's time.

--- a/src/flow/flow_deadlines.cpp
+++ b/src/flow/flow_deadlines.cpp
@@ -37,7 +37,8 @@
 }
 
 void FlowDeadlines::OnResponseBody(Flow& flow, size_t bytes) const {
-  flow.response_deadline.OnBody(bytes);  // it only puts the end off, so the timer need not be restarted
+  flow.response_deadline.OnBody(Clock::now(),
+                                bytes);  // it only puts the end off, so the timer need not be restarted
 }
 
 void FlowDeadlines::OnResponsePaused(Flow& flow) const {
--- a/src/flow/response_deadline.h
+++ b/src/flow/response_deadline.h
@@ -17,12 +17,16 @@
  public:
   // A request is lost if it has no end half a second after its client's time.
   static constexpr Span kLateResponseGrace = std::chrono::milliseconds(300);
+  // A long response goes on after that while its body makes progress: it comes at this rate on average, in
+  // bytes per second, and has not been silent for longer than this.
+  static constexpr std::uint64_t kMinBodyRate = 4 * 1024;
+  static constexpr Span kMaxSilence = std::chrono::seconds(10);
 
   // The head has been passed on. `client_deadline`: when the client gives up; `announced`: the length of the
   // body in bytes, if the head tells it.
   void Begin(Time client_deadline, std::optional<std::uint64_t> announced);
   // So many bytes of the body have arrived.
-  void OnBody(size_t bytes);
+  void OnBody(Time now, size_t bytes);
   // The response is not read while its client lags. That time doesn't count.
   void Pause(Time now);
   void Resume(Time now);
@@ -34,6 +38,7 @@
 
  private:
   Time client_deadline_{};
+  Time first_body_{}, last_body_{};
   std::uint64_t announced_ = 0;
   std::uint64_t received_ = 0;
   std::optional<Time> paused_at_;
--- a/src/server/real_server.cpp
+++ b/src/server/real_server.cpp
@@ -293,10 +293,6 @@
     return End(exchange, exchange.written ? Code::kReset : Code::kNotSent);
   }
   if (exchange.connecting) counters_.Add("connect_timeouts");
-  if (exchange.streams_response()) {
-    counters_.Add("answers_stalled");
-    return End(exchange, Code::kReset);
-  }
   if (exchange.response == ResponseProgress::kHeld) return EndHold(exchange);
   if (exchange.response == ResponseProgress::kBuffered && Clock::now() < exchange.deadline) {
     counters_.Add("answers_unfinished");
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -78,8 +78,9 @@
   std::function<void()> on_written;  // the last byte of the request is written
   // Streaming request body: the head or a part of the body is written, and there is buffer space for more.
   std::function<void()> on_buffer_space;
-  // Streaming response with status 200: the head, then the body in parts. Without on_response_head, and for
-  // other statuses, a response that is too long to buffer ends the exchange with its head.
+  // Streaming response with status 200: the head, then the body in parts. Whoever receives it sees to its
+  // end. Without on_response_head, and for other statuses, a response that is too long to buffer ends the
+  // exchange with its head.
   std::function<void(const Message& head)> on_response_head;
   std::function<void(std::string part)> on_response_body;
   // Called once, except after Cancel, and never from inside Start. The connection is closed or idle by then.
@@ -111,7 +112,8 @@
   // Backpressure for a streaming response: stops and restarts reading from the real server.
   void PauseResponse(ExchangeId exchange);
   void ResumeResponse(ExchangeId exchange);
-  // Gives up on the response of an exchange, which ends with kReset as if its connection had broken.
+  // Gives up on the response of an exchange, which ends with kReset as if its connection had broken. A
+  // streaming response has no time limit of its own.
   void Break(ExchangeId exchange);
   // Closes the exchange's connection; on_done is not called. Returns nothing for an exchange that has already
   // ended.
@@ -146,7 +148,6 @@
   void ArmResponseTimer(ServerExchange& exchange);
   bool MayHoldResponse(const ServerExchange& exchange) const;
   void EndHold(ServerExchange& exchange);
-  static Span StreamStallTimeout(const ServerExchange& exchange);
   bool BeginStreaming(ServerConnection& connection);
   void UpdateBufferedBytes(ServerExchange& exchange, size_t bytes);
   void UpdateUnwrittenBytes(ServerExchange& exchange, size_t bytes);
--- a/src/server/real_server_responses.cpp
+++ b/src/server/real_server_responses.cpp
@@ -16,8 +16,6 @@
 constexpr Span kResponseStallTimeout = 250ms;
 // How long a response of unknown length is buffered, waiting for its end, before it is streamed.
 constexpr Span kResponseHoldTime = 100ms;
-// How long a response that is streamed without a length, and short so far, may fall silent after its time.
-constexpr Span kShortStreamStallTime = 1s;
 // Where buffered responses hold too much memory, one with at least so much of its body is streamed.
 constexpr size_t kMinBodyStreamedEarly = 4 * 1024;
 
@@ -27,7 +25,6 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end() || it->second->paused) return;
   it->second->paused = true;
-  it->second->timer.Stop();  // the reader of the response has its own deadline
   it->second->connection->stream.Pause();
 }
 
@@ -35,7 +32,6 @@
   const auto it = exchanges_.find(id);
   if (it == exchanges_.end() || !it->second->paused) return;
   it->second->paused = false;
-  ArmResponseTimer(*it->second);
   it->second->connection->stream.Read();
 }
 
@@ -107,10 +103,12 @@
   ArmTimer(*exchange, exchange->deadline);
 }
 
-// Passes on the head of a response whose body will be streamed. Returns false if that cancelled the exchange.
+// Passes on the head of a response whose body will be streamed. The exchange has no time limit from now on:
+// its receiver ends it by Break. Returns false if that cancelled the exchange.
 bool RealServers::BeginStreaming(ServerConnection& connection) {
   ServerExchange& exchange = *connection.exchange;
   exchange.response = ResponseProgress::kStreamed;
+  exchange.timer.Stop();
   exchange.latency = Clock::now() - exchange.started;
   connection.stream.LimitUnsentBytes();
   streaming_limit_.BeginTransfer();
@@ -122,9 +120,7 @@
 // Arms the timer for the next part of the response.
 void RealServers::ArmResponseTimer(ServerExchange& exchange) {
   switch (exchange.response) {
-    case ResponseProgress::kStreamed:
-      if (!exchange.paused) exchange.timer.Start(StreamStallTimeout(exchange));
-      return;
+    case ResponseProgress::kStreamed:     // its receiver ends it
     case ResponseProgress::kHeld:         // further parts do not extend the hold time
     case ResponseProgress::kBodyAwaited:  // nor the exchange's own time
       return;
@@ -137,14 +133,6 @@
   ArmTimer(exchange, Clock::now() + (holds ? kResponseHoldTime : kResponseStallTimeout));
 }
 
-// A response that may still turn out short has to end, whole or visibly cut, about in its time.
-Span RealServers::StreamStallTimeout(const ServerExchange& exchange) {
-  const bool is_long =
-      exchange.response_head.content_length || exchange.use.received_bytes > kMaxBufferedBody;
-  if (is_long) return kStreamStallTimeout;
-  return std::max<Span>(exchange.deadline - Clock::now(), Span::zero()) + kShortStreamStallTime;
-}
-
 // A response that is too long to be buffered, or may be, is streamed if it is not complete soon.
 bool RealServers::MayHoldResponse(const ServerExchange& exchange) const {
   const HttpParser& parser = exchange.connection->parser;
@@ -163,10 +151,7 @@
   connection.parser.StartStreaming();
   if (!connection.parser.message().body.empty())
     return OnResponseProgress(connection, ParseResult::kIncomplete);
-  if (is_long) {
-    if (BeginStreaming(connection)) ArmResponseTimer(exchange);
-    return;
-  }
+  if (is_long) return static_cast<void>(BeginStreaming(connection));
   counters_.Add("answers_without_body_yet");
   ArmTimer(exchange, exchange.deadline);
 }
--- a/src/server/server_exchange.h
+++ b/src/server/server_exchange.h
@@ -14,7 +14,7 @@
 
 namespace umberdyke::net {
 
-// Limit without progress for a streaming body, in either direction.
+// Limit without progress for a streaming request body.
 constexpr Span kStreamStallTimeout = std::chrono::seconds(10);
 
 // What of an exchange's response has arrived, which decides how long the next part is waited for.
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -174,7 +174,7 @@
   Flow* flow = flows_.Find(id);
   if (flow == nullptr || !flow_deadlines_.IsOver(*flow)) return;
   if (flow->passed_on) {
-    counters_.Add("answers_overdue");
+    counters_.Add(flow->response_deadline.is_long() ? "answers_stalled" : "answers_overdue");
     flow->response_overdue = true;
     return attempt_sender_.BreakResponse(*flow);
   }
--- a/tests/net/paced_peers.h
+++ b/tests/net/paced_peers.h
@@ -115,6 +115,7 @@
     ended_at = Clock::now();
     closed_cleanly = stream.closed_cleanly();
   }
+  bool IsChunked() const { return kept.find("Transfer-Encoding: chunked") != std::string::npos; }
   // Whether a chunked response has come to its end.
   bool HasLastChunk() const { return tail.ends_with("0\r\n\r\n"); }
   int status() const { return kept.size() > 12 ? std::atoi(kept.c_str() + 9) : 0; }
--- a/tests/net/response_end_process_test.cpp
+++ b/tests/net/response_end_process_test.cpp
@@ -41,6 +41,54 @@
   };
 }
 
+// Fails if a pause is measured by the time of the attempt, or one in a long response by the client's time.
+TEST_CASE("a response whose server pauses for seconds is passed on whole", "[response-end]") {
+  struct Paused {
+    std::string head;
+    bool chunked;
+    size_t first;  // bytes before the pause
+    Span pause;
+    size_t rest;
+    int timeout_ms;
+    std::string request_class;
+  };
+  const std::string long_head = "HTTP/1.1 200 OK\r\nContent-Length: 122880\r\n\r\n";
+  const auto response = GENERATE_COPY(
+      // Within the client's time, and beyond that of the attempt.
+      Paused{kChunkedHead, true, 20'480, 2800ms, 102'400, 4000, "look"},
+      Paused{kChunkedHead, true, 20'480, 2800ms, 4'096, 4000, "unsafe"},
+      Paused{kUnframedHead, false, 20'480, 2800ms, 102'400, 4000, "any"},
+      Paused{long_head, false, 20'480, 2800ms, 102'400, 4000, "unsafe"},
+      // Beyond the client's time, in a response that is long already, or announces that it will be.
+      Paused{kChunkedHead, true, 81'920, 2800ms, 40'960, 1500, "hand"},
+      Paused{long_head, false, 20'480, 2800ms, 102'400, 1500, "look"},
+      Paused{long_head, false, 81'920, 4500ms, 40'960, 600, "unsafe"});
+  CAPTURE(response.head, response.first, response.rest, response.timeout_ms, response.request_class);
+  PacedSite site(32);
+  const Framing framing{std::nullopt, response.chunked};
+  site.paced.on_request = [&](PacedServer::Peer& peer) {
+    site.After(kWorkTime,
+               [&] { peer.Write(response.head + WriteBodyPart(std::string(response.first, 'f'), framing)); });
+    site.After(kWorkTime + response.pause, [&] {
+      peer.Write(WriteBodyPart(std::string(response.rest, 'r'), framing) + WriteBodyEnd(framing));
+      if (response.head == kUnframedHead) peer.stream.Close();
+    });
+  };
+  const std::string request =
+      response.request_class == "look"
+          ? Look(std::to_string(response.timeout_ms), "pause")
+          : LongRequest("pause", 4, response.timeout_ms, kNoLimit, response.request_class);
+  PacedClient client(site.loop, *ParseAddress(site.listen_address), request, 0);
+  const size_t length = response.first + response.rest;
+  const auto is_whole = [&] {
+    return client.received > length && (client.HasLastChunk() || !client.IsChunked());
+  };
+  site.loop.RunUntil([&] { return client.ended_at || is_whole(); }, kWorkTime + response.pause + 1s);
+  CHECK(client.status() == 200);
+  CHECK(is_whole());
+  CHECK(site.paced.requests == 1);
+}
+
 // Fails if the pieces of a response each put off its end, so that its client never has one.
 TEST_CASE("a short response that keeps on coming is cut soon after its client's time", "[response-end]") {
   const auto response =
