--- a/tests/net/response_end_process_test.cpp
+++ b/tests/net/response_end_process_test.cpp
@@ -108,5 +108,42 @@
   CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
 }
 
+// Fails if a length that is announced frees a response from its client's time before it brings anything.
+TEST_CASE("a long response that brings next to nothing is cut soon after its client's time",
+          "[response-end]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n";
+  const std::string body = GENERATE("", "r");
+  const bool trickles = GENERATE(false, true);
+  const int timeout_ms = GENERATE(600, 2500);
+  CAPTURE(body.size(), trickles, timeout_ms);
+  PacedSite site(32);
+  const PacedResponse response{head + body, false, 64, 300ms, 0};
+  if (trickles) {
+    Serve(site, response);
+  } else {
+    site.paced.on_request = [&](PacedServer::Peer& peer) { peer.Write(head + body); };
+  }
+  PacedClient client(site.loop, *ParseAddress(site.listen_address), Look(std::to_string(timeout_ms), "bare"),
+                     0);
+  const Span latest = std::chrono::milliseconds(timeout_ms) + kLatestAnswer + kSocketSlack;
+  site.loop.RunUntil([&] { return client.ended_at.has_value(); }, latest);
+  CHECK(client.ended_at);
+  CHECK(client.received < 90'000);
+}
+
+// Fails if a long response that has fallen silent for good leaves its client without an end.
+TEST_CASE("a long response that falls silent for good is cut", "[response-end]") {
+  const bool chunked = GENERATE(true, false);
+  const std::string head = chunked ? kChunkedHead : "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n";
+  PacedSite site(32);
+  const Framing framing{std::nullopt, chunked};
+  site.paced.on_request = [&](PacedServer::Peer& peer) {
+    peer.Write(head + WriteBodyPart(std::string(80 * 1024, 'r'), framing));
+  };
+  PacedClient client(site.loop, *ParseAddress(site.listen_address), Look("600", "silent"), 0);
+  CHECK(site.loop.RunUntil([&] { return client.ended_at.has_value(); }, 10s + 1s));
+  CHECK_FALSE(client.HasLastChunk());
+}
+
 }  // namespace
 }  // namespace umberdyke::net
