Give requests that come late after SIGTERM a whole answer before the kill

Callers saw: a request sent 1.2 s after SIGTERM, on a connection that the process had left open, got the head and part of a long response, which SIGKILL cut off. Cause: requests are forwarded for as long as a useful response can come before the kill, by the class's aim. The deadline that shutdown sets held only for flows without a response; once one is passed on nothing bounded it, and a long one takes as long as its server and its client want. Ruled out: closing idle connections at 0.55 s, which leaves uploads and pipelined requests as they were, and takes short requests from clients that have no other sidecar.

--- a/src/flow/flow.h
+++ b/src/flow/flow.h
@@ -41,6 +41,7 @@
   Span attempt_timeout{};              // of the current attempt, from the request's last byte on
   std::optional<int> passed_on;        // the attempt whose streaming response has begun to reach the client
   ResponseDeadline response_deadline;  // of the response that is passed on
+  bool needs_whole_response = false;   // the process may be killed before one that is passed on is complete
   bool response_overdue = false;       // the response was given up on, as its time was over
   int unfit_status = 0;                // status of a real server that found the request invalid; 0: none
   std::unique_ptr<Timer> deadline_timer;
--- a/src/flow/flow_deadlines.cpp
+++ b/src/flow/flow_deadlines.cpp
@@ -20,6 +20,7 @@
 
 void FlowDeadlines::OnRequestReceived(Flow& flow) const {
   flow.receiving_body = false;
+  flow.needs_whole_response = Clock::now() >= late_from_;
   flow.received = flow.request.streaming_body ? flow.edge->earliest_body_end() : Clock::now();
   flow.deadline = flow.received + flow.request.time_left - kClientTransitTime;
   StartTimer(flow);
@@ -70,8 +71,9 @@
   flow.deadline_timer->Start(std::max<Span>(end - Clock::now(), 0ms));
 }
 
-void FlowDeadlines::SetFinalDeadline(Time deadline) {
+void FlowDeadlines::SetFinalDeadline(Time deadline, Time late_from) {
   final_deadline_ = deadline;
+  late_from_ = late_from;
   flows_.ForEach([this](Flow& flow) {
     if (!flow.receiving_body && flow.state != Flow::State::kResponded) StartTimer(flow);
   });
--- a/src/flow/flow_deadlines.h
+++ b/src/flow/flow_deadlines.h
@@ -30,8 +30,9 @@
   void OnResponseResumed(Flow& flow) const;
   // For a flow whose timer has fired: whether its time is over. If not, the timer is started anew.
   bool IsOver(Flow& flow) const;
-  // For shutdown: all flows, open and future, have a response or the beginning of one before `deadline`.
-  void SetFinalDeadline(Time deadline);
+  // For shutdown: all flows, open and future, have a response or the beginning of one before `deadline`; a
+  // flow whose request arrives at `late_from` or later has its whole response by then.
+  void SetFinalDeadline(Time deadline, Time late_from);
 
  private:
   static Time EndOf(const Flow& flow);
@@ -41,6 +42,7 @@
   FlowTable& flows_;
   const Callback on_end_;
   Time final_deadline_ = Time::max();
+  Time late_from_ = Time::max();
 };
 
 }  // namespace umberdyke::net
--- a/src/flow/flow_log.cpp
+++ b/src/flow/flow_log.cpp
@@ -63,6 +63,8 @@
       return "the response broke on its way";
     case FlowEndCause::kResponseOverdue:
       return "the response was not complete in time";
+    case FlowEndCause::kShutdown:
+      return "its response is too long for a process that ends";
     case FlowEndCause::kModuleRejected:
       return "rejected by the decision module";
     case FlowEndCause::kModuleFailed:
--- a/src/flow/flow_log.h
+++ b/src/flow/flow_log.h
@@ -17,6 +17,7 @@
   kResponse,         // a real server's response was relayed
   kResponseBroke,    // a streaming response broke on its way
   kResponseOverdue,  // a streaming response was not complete in time
+  kShutdown,         // its response is long, and the process may be killed before it is complete
   kModuleRejected,   // the decision module rejected it
   kModuleFailed,     // the decision module gave it up
   kFinalDeadline,    // the decision module had not ended it by its deadline
--- a/src/flow/relay.cpp
+++ b/src/flow/relay.cpp
@@ -68,6 +68,10 @@
   return FlowEnd::kFailed;
 }
 
+FlowEnd ResponseWriter::SendElsewhere(Flow& flow) const {
+  return MayReject(flow) ? SendRejection(flow, {}, true) : SendFailure(flow, true);
+}
+
 void ResponseWriter::SendFinalResponse(Flow& flow, std::string response, bool keep_alive) const {
   if (!INVARIANT(flow.state != Flow::State::kResponded, counters_)) return;
   flow.state = Flow::State::kResponded;
--- a/src/flow/relay.h
+++ b/src/flow/relay.h
@@ -26,6 +26,9 @@
   // Tells the client to retry later; sends a failure instead if a retry might execute the request twice.
   FlowEnd SendRejection(Flow& flow, std::chrono::microseconds retry_after, bool draining) const;
   FlowEnd SendFailure(Flow& flow, bool draining) const;
+  // A rejection that invites the client to try elsewhere at once where that is harmless; a failure otherwise.
+  // Closes the connection afterwards.
+  FlowEnd SendElsewhere(Flow& flow) const;
 
  private:
   bool MayReject(const Flow& flow) const;
--- a/src/flow/send.cpp
+++ b/src/flow/send.cpp
@@ -26,6 +26,7 @@
   };
   events.on_written = [this, id = flow.id, streams_body] { OnRequestSent(id, streams_body); };
   if (streams_body) events.on_buffer_space = [this, id = flow.id] { streaming_.on_writable(id); };
+  events.may_stream_response = [this, id = flow.id] { return streaming_.may_stream_response(id); };
   events.on_response_head = [this, key](const Message& head) {
     streaming_.on_response_head(key.first, key.second, head);
   };
--- a/src/flow/send.h
+++ b/src/flow/send.h
@@ -34,6 +34,8 @@
     std::function<void(FlowId)>
         on_body_start;  // the first part of a body was sent; it is not kept for a retry
     std::function<void(FlowId)> on_body_sent;  // the last byte of the body was written
+    // Whether a response may be passed on before all of it has arrived. One that is long begins all the same.
+    std::function<bool(FlowId)> may_stream_response;
     std::function<void(FlowId, int attempt, const Message& head)> on_response_head;
     std::function<void(FlowId, int attempt, std::string data)> on_response_data;
   };
--- a/src/server/real_server.h
+++ b/src/server/real_server.h
@@ -78,6 +78,8 @@
   std::function<void()> on_written;  // the last byte of the request is written
   // Streaming request body: the head or a part of the body is written, and there is buffer space for more.
   std::function<void()> on_buffer_space;
+  // Whether a response that is short so far may be streamed before it is complete. Without it, it may.
+  std::function<bool()> may_stream_response;
   // Streaming response with status 200: the head, then the body in parts. Whoever receives it sees to its
   // end. Without on_response_head, and for other statuses, a response that is too long to buffer ends the
   // exchange with its head.
--- a/src/server/real_server_responses.cpp
+++ b/src/server/real_server_responses.cpp
@@ -120,15 +120,20 @@
 // Arms the timer for the next part of the response.
 void RealServers::ArmResponseTimer(ServerExchange& exchange) {
   switch (exchange.response) {
-    case ResponseProgress::kStreamed:     // its receiver ends it
-    case ResponseProgress::kHeld:         // further parts do not extend the hold time
-    case ResponseProgress::kBodyAwaited:  // nor the exchange's own time
+    case ResponseProgress::kStreamed:      // its receiver ends it
+    case ResponseProgress::kHeld:          // further parts do not extend the hold time
+    case ResponseProgress::kWholeAwaited:  // nor the exchange's own time
+    case ResponseProgress::kBodyAwaited:
       return;
     case ResponseProgress::kNone:
     case ResponseProgress::kBuffered:
       break;
   }
   const bool holds = MayHoldResponse(exchange);
+  if (holds && exchange.events.may_stream_response && !exchange.events.may_stream_response()) {
+    exchange.response = ResponseProgress::kWholeAwaited;
+    return ArmTimer(exchange, exchange.deadline);
+  }
   exchange.response = holds ? ResponseProgress::kHeld : ResponseProgress::kBuffered;
   ArmTimer(exchange, Clock::now() + (holds ? kResponseHoldTime : kResponseStallTimeout));
 }
--- a/src/server/server_exchange.h
+++ b/src/server/server_exchange.h
@@ -19,11 +19,12 @@
 
 // What of an exchange's response has arrived, which decides how long the next part is waited for.
 enum class ResponseProgress {
-  kNone,         // nothing
-  kBuffered,     // a part, which is buffered until the response is complete
-  kHeld,         // the same, of a response without a length or a long one: for kResponseHoldTime at most
-  kBodyAwaited,  // the head of a response without a length that was held in vain: its body will be streamed
-  kStreamed,     // the head and part of the body have been passed on
+  kNone,          // nothing
+  kBuffered,      // a part, which is buffered until the response is complete
+  kHeld,          // the same, of a response without a length or a long one: for kResponseHoldTime at most
+  kWholeAwaited,  // the same, until the exchange's time is over: it must not be streamed while it is short
+  kBodyAwaited,   // the head of a response without a length that was held in vain: its body will be streamed
+  kStreamed,      // the head and part of the body have been passed on
 };
 
 struct ServerExchange {
--- a/src/sidecar/limits.cpp
+++ b/src/sidecar/limits.cpp
@@ -14,7 +14,10 @@
 constexpr Span kMaxCountedDeadline = 3s;
 constexpr Span kMinGracePeriod = 800ms;      // connections and requests still arrive in this time
 constexpr Span kLastResponseMargin = 200ms;  // from the last responses to the kill
-constexpr Span kLastRequestMargin = 50ms;    // from the last accepted request to the kill
+// A request is lost if it arrives later than this and is unanswered at the kill.
+constexpr Span kExcusedRequestDelay = 700ms;
+constexpr Span kMaxProcessStall = 150ms;   // by which the process may see a signal, or a request, late
+constexpr Span kLastRequestMargin = 50ms;  // from the last accepted request to the kill
 // Descriptors for the loop, log, listener and discovery. Console connections come on top of these and are
 // reserved for the console alone.
 constexpr int kReservedDescriptors = 24;
@@ -42,6 +45,8 @@
 
 Span LastResponseDelay(const Settings& settings) { return KillDelay(settings) - kLastResponseMargin; }
 
+Span LateRequestDelay() { return kExcusedRequestDelay - kMaxProcessStall; }
+
 Span LastRequestDelay(const Settings& settings) { return KillDelay(settings) - kLastRequestMargin; }
 
 int MaxConsoleConnections(const Config& config) {
--- a/src/sidecar/limits.h
+++ b/src/sidecar/limits.h
@@ -8,11 +8,13 @@
 
 namespace umberdyke::net {
 
-// These four are measured from the start of the shutdown.
+// These five are measured from the start of the shutdown.
 // When the operator kills the process.
 Span KillDelay(const Settings& settings);
 // When every accepted request has its response.
 Span LastResponseDelay(const Settings& settings);
+// From when on a request that arrives must have its whole response before the process is killed.
+Span LateRequestDelay();
 // Until when requests that are already on a connection are accepted; they are answered at once.
 Span LastRequestDelay(const Settings& settings);
 // How long requests are still forwarded to real servers.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -64,6 +64,10 @@
            [this](FlowId id) {
              if (const Flow* flow = flows_.Find(id); flow != nullptr) decisions_.OnBodySent(*flow);
            },
+           [this](FlowId id) {
+             const Flow* flow = flows_.Find(id);
+             return flow == nullptr || !flow->needs_whole_response;
+           },
            [this](FlowId flow, int attempt, const Message& head) { OnResponseHead(flow, attempt, head); },
            [this](FlowId flow, int attempt, std::string piece) {
              OnResponseData(flow, attempt, std::move(piece));
@@ -426,7 +430,7 @@
   if (replaced()) listener_.Close();  // the other process accepts the queued connections
   const Time now = Clock::now();
   last_request_at_ = now + LastRequestDelay(config_.settings);
-  flow_deadlines_.SetFinalDeadline(now + LastResponseDelay(config_.settings));
+  flow_deadlines_.SetFinalDeadline(now + LastResponseDelay(config_.settings), now + LateRequestDelay());
   close_timer_.Start(GracePeriod(config_.settings));
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -96,6 +96,7 @@
   const Flow* FindFlowWithClient(FlowId flow);
   void OnResponseHead(FlowId flow, int attempt, const Message& head);
   void OnResponseData(FlowId flow, int attempt, std::string piece);
+  void RejectLongResponse(Flow& flow, int attempt);
   void PauseResponse(Flow& flow);
   void OnAttemptEnd(AttemptResult result);
   bool RespondWith(Flow& flow, const AttemptResult& result);
--- a/src/sidecar/sidecar_flows.cpp
+++ b/src/sidecar/sidecar_flows.cpp
@@ -127,12 +127,23 @@
 void Sidecar::OnResponseHead(FlowId id, int attempt, const Message& head) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr || flow->passed_on) return attempt_sender_.Cancel(id, attempt);
+  if (flow->needs_whole_response) return RejectLongResponse(*flow, attempt);
   flow->passed_on = attempt;
   decisions_.OnResponseStart(id, attempt);
   flow_deadlines_.OnResponseBegun(*flow, head);
   if (!response_writer_.BeginStreaming(*flow, head, ClosesAfterResponse(*flow))) PauseResponse(*flow);
 }
 
+// The process may be killed before the response has been passed on, so nothing of it is.
+void Sidecar::RejectLongResponse(Flow& flow, int attempt) {
+  const FlowId id = flow.id;
+  counters_.Add("flows_too_long_at_end");
+  flow_recorder_.CloseFlow(id, response_writer_.SendElsewhere(flow), FlowEndCause::kShutdown);
+  attempt_sender_.Cancel(id, attempt);
+  attempt_sender_.CancelUnsent(id);
+  decisions_.OnClientGone(id);
+}
+
 void Sidecar::OnResponseData(FlowId id, int attempt, std::string piece) {
   Flow* flow = flows_.Find(id);
   if (flow == nullptr || flow->passed_on != attempt) return attempt_sender_.Cancel(id, attempt);
