Reset a response that ends with its connection before the kill cuts it

Callers saw: a client of HTTP/1.0 got the first part of a response as if it were the whole: SIGKILL closed its connection in the middle, and the kernel closes it regularly. Cause: where neither a length nor chunks mark the end, only a reset tells a client that the response is cut. The process resets in AbortResponse, but nothing did before the kill, whose time is known.

--- a/src/edge/edge_connection.cpp
+++ b/src/edge/edge_connection.cpp
@@ -375,11 +375,15 @@
 
 void EdgeConnection::AbortResponse() {
   // Without framing a regular close would look like the end of the body.
-  const bool has_framing = framing_.chunked || framing_.content_length;
-  if (!has_framing) stream_.Reset();
+  if (!framing_.marks_end()) stream_.Reset();
   owner_.OnClosed(*this, EdgeCloseCause::kResponseAborted);
 }
 
+void EdgeConnection::AbortUnframedResponse() {
+  const bool writes_stream = state_ == State::kWritingResponse && response_streaming_;
+  if (writes_stream && !framing_.marks_end()) AbortResponse();
+}
+
 void EdgeConnection::OnEnd() {
   const bool lingers = state_ == State::kLingering;
   owner_.OnClosed(*this, lingers ? EdgeCloseCause::kLingerEnded : EdgeCloseCause::kClientClosed);
--- a/src/edge/edge_connection.h
+++ b/src/edge/edge_connection.h
@@ -75,6 +75,9 @@
   void EndResponse();
   // Closes the connection so that the client can tell that the response is incomplete.
   void AbortResponse();
+  // The same, if a response is not complete whose end the client could only tell by a regular close, as the
+  // kernel does when the process is killed.
+  void AbortUnframedResponse();
   // Returns the next bytes of a streaming body that has arrived, about `most` of them; none if all are taken.
   std::string TakeBody(size_t most);
   bool body_received() const { return body_received_; }
--- a/src/flow/relay.cpp
+++ b/src/flow/relay.cpp
@@ -22,7 +22,7 @@
   counters_.Add("flows_served_long");
   flow.state = Flow::State::kResponded;
   const Framing framing = Platform::FramingOf(head, flow.request.message.accepts_chunked);
-  const bool keep = KeepAlive(flow, draining) && (framing.content_length || framing.chunked);
+  const bool keep = KeepAlive(flow, draining) && framing.marks_end();
   return flow.edge->BeginResponse(platform_.SuccessHead(head, framing, keep), framing, keep);
 }
 
--- a/src/http1/http.h
+++ b/src/http1/http.h
@@ -113,6 +113,8 @@
 struct Framing {
   std::optional<std::uint64_t> content_length;
   bool chunked = false;
+  // Whether the receiver can tell a body that is cut off from a complete one.
+  bool marks_end() const { return chunked || content_length.has_value(); }
 };
 std::string WriteResponseHead(int status, const std::vector<Header>& headers, const Framing& framing,
                               bool keep_alive);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -80,6 +80,7 @@
       start_timer_(loop, [this] { StartServing(); }),
       accept_timer_(loop, [this] { OnIdle(); }),
       close_timer_(loop, [this] { StartClosing(); }),
+      unframed_responses_timer_(loop, [this] { AbortUnframedResponses(); }),
       stop_listening_timer_(loop, [this] { StopListening(); }),
       idle_edges_timer_(loop, [this] { CloseIdleEdges(); }),
       tick_(loop, [this] { Tick(); }) {
@@ -432,6 +433,7 @@
   last_request_at_ = now + LastRequestDelay(config_.settings);
   flow_deadlines_.SetFinalDeadline(now + LastResponseDelay(config_.settings), now + LateRequestDelay());
   close_timer_.Start(GracePeriod(config_.settings));
+  unframed_responses_timer_.Start(LastResponseDelay(config_.settings));
 }
 
 void Sidecar::Reload(const std::function<Config()>& load) {
@@ -467,6 +469,14 @@
   NotifyIfDrained();
 }
 
+// The process may be killed soon, and a response that ends with its connection would then look complete.
+void Sidecar::AbortUnframedResponses() {
+  std::vector<EdgeConnection*> edges;
+  for (const auto& [edge, owned] : edges_) edges.push_back(edge);
+  for (EdgeConnection* edge : edges) edge->AbortUnframedResponse();
+  unframed_responses_timer_.Start(kIdleSweepInterval);
+}
+
 // Connections in the kernel's queue are established and may have sent requests: they are accepted before the
 // listener closes.
 void Sidecar::StopListening() {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -105,6 +105,7 @@
   void Tick();
   void UpdateGauges();
   void StartClosing();
+  void AbortUnframedResponses();
   void StopListening();
   void NotifyIfDrained();
   void Start();
@@ -172,6 +173,7 @@
   Timer start_timer_;
   Timer accept_timer_;
   Timer close_timer_;
+  Timer unframed_responses_timer_;
   Timer stop_listening_timer_;
   Timer idle_edges_timer_;
   Timer tick_;
--- a/tests/net/late_request_process_test.cpp
+++ b/tests/net/late_request_process_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "handover/cluster.h"
+#include "net/paced_peers.h"
 
 namespace umberdyke::net {
 namespace {
@@ -126,5 +127,26 @@
   CHECK(pipelined->answers.size() == 3);
 }
 
+// Fails if the kill closes a response that ends with its connection in the middle, as if it were complete.
+TEST_CASE("a response that ends with its connection is reset before SIGKILL cuts it", "[late-request]") {
+  EndingProcess ending;
+  ending.cluster.server.script = [&](Party::Peer& peer) {
+    peer.Reply("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    for (int i = 0; i < kPieces; ++i) {
+      ending.After(i * kPieceInterval, [&peer] { peer.Reply(std::string(kPiece, 'l')); });
+    }
+  };
+  const std::string request = Replaced(Look("4000", "unframed"), "HTTP/1.1", "HTTP/1.0");
+  PacedClient client(ending.cluster.loop, *ParseAddress(ending.cluster.listen()), request, 0);
+  REQUIRE(ending.cluster.loop.RunUntil([&] { return client.received > 0; }, 3s));
+  ending.Terminate();
+  ending.Kill();
+  REQUIRE(client.ended_at);
+  CHECK(client.status() == 200);
+  CHECK_FALSE(client.IsChunked());
+  CHECK(client.received < kPieces * kPiece);
+  CHECK_FALSE(client.closed_cleanly);
+}
+
 }  // namespace
 }  // namespace umberdyke::net
