Soak servers whose responses stop or go on in drops, and late long requests

Change: two modes, broken-responses and broken-responses-new-ids; the plays of the other modes are as they were. Each response that has begun has an end that its client sees, 0.5 s after its time at the latest; a long one that has brought over 4 KiB may go on. Late requests that a server got have whole answers by the kill. One expectation of response_deadline_test was wrong (the rate ends that response, not the silence); it had not been run when it went in. It asks the same of one that keeps the rate.

--- a/tests/flow/response_deadline_test.cpp
+++ b/tests/flow/response_deadline_test.cpp
@@ -38,7 +38,7 @@
   deadline.OnBody(kInTime - 1ms, kMaxBufferedBody);
   CHECK(deadline.is_long());
   CHECK(deadline.end() == kInTime - 1ms + ResponseDeadline::kMaxSilence);
-  deadline.OnBody(kInTime + 5s, 1);
+  deadline.OnBody(kInTime + 5s, 4 * ResponseDeadline::kMinBodyRate);
   CHECK(deadline.end() == kInTime + 5s + ResponseDeadline::kMaxSilence);
 }
 
--- a/tests/net/paced_peers.h
+++ b/tests/net/paced_peers.h
@@ -106,6 +106,7 @@
   void OnData(std::string_view bytes) override {
     if (!first_byte_at) first_byte_at = Clock::now();
     received += bytes.size();
+    last_byte_at = Clock::now();
     if (kept.size() < kKeptBytes) kept.append(bytes.substr(0, kKeptBytes));
     tail.append(bytes.substr(bytes.size() - std::min(bytes.size(), kTailBytes)));
     tail.erase(0, tail.size() - std::min(tail.size(), kTailBytes));
@@ -116,13 +117,25 @@
     closed_cleanly = stream.closed_cleanly();
   }
   bool IsChunked() const { return kept.find("Transfer-Encoding: chunked") != std::string::npos; }
+  // The length that the response's head tells; 0 if it tells none.
+  size_t AnnouncedLength() const {
+    constexpr std::string_view kName = "Content-Length: ";
+    const size_t at = kept.find(kName);
+    return at == std::string::npos ? 0 : std::strtoull(kept.c_str() + at + kName.size(), nullptr, 10);
+  }
+  // Whether a response with a length or in chunks has come to its end.
+  bool IsWhole() const {
+    if (IsChunked()) return HasLastChunk();
+    const size_t head = kept.find("\r\n\r\n");
+    return head != std::string::npos && received >= head + 4 + AnnouncedLength();
+  }
   // Whether a chunked response has come to its end.
   bool HasLastChunk() const { return tail.ends_with("0\r\n\r\n"); }
   int status() const { return kept.size() > 12 ? std::atoi(kept.c_str() + 9) : 0; }
 
   Stream stream;
   bool reads = true;
-  std::optional<Time> written_at, first_byte_at, ended_at;
+  std::optional<Time> written_at, first_byte_at, last_byte_at, ended_at;
   size_t received = 0;
   std::string kept;             // the beginning of what was received
   std::string tail;             // its end
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,9 +2,11 @@
 // leave and come again, a crowd on some seeds, processes that replace each other, discovery that moves, and
 // signals in series. Clients use their connections until the kill.
 //
-//   umberdyke_soak PROGRAM FIRST_SEED LAST_SEED [calm]
+//   umberdyke_soak PROGRAM FIRST_SEED LAST_SEED [calm|broken-responses|broken-responses-new-ids]
 //
-// With `calm` there is neither a crowd nor a flood.
+// With `calm` there is neither a crowd nor a flood. With `broken-responses` neither, and responses stop or go
+// on in drops at any of their bytes, and long ones are asked for after the last SIGTERM. With
+// `broken-responses-new-ids` the same, and no client comes again with the id of one that has left.
 //
 // Prints a line for each seed and each broken rule; exits with 1 if a rule was broken.
 #include <csignal>
@@ -17,6 +19,8 @@
 #include "files/files.h"
 #include "lab/common/process.h"
 #include "net/paced_peers.h"
+#include "soak/broken_responses.h"
+#include "soak/late_clients.h"
 #include "soak/resident_clients.h"
 #include "soak/sidecar_processes.h"
 
@@ -42,6 +46,9 @@
 constexpr int kMostReplacements = 2;
 constexpr Span kReplacementInterval = 2500ms;  // the load goes on for so long after each replacement
 constexpr int kResidents = 12;
+constexpr int kLateClients = 12;
+constexpr Span kLastRequestBeforeKill = 60ms;  // what is sent later before it may have no answer
+constexpr double kBrokenResponses = 0.1;       // share of all
 
 struct Draw {
   explicit Draw(unsigned seed) : random(seed) {}
@@ -58,6 +65,7 @@
   std::unique_ptr<PacedClient> client;
   std::optional<Time> leaves_at, left_at;
   size_t leaves_after_bytes = 0;  // of its response; 0: the client stays
+  bool left_in_response = false;  // the client closed its connection once it had begun to get its response
   bool answered = false;          // the server had sent its whole response when the client left
 };
 
@@ -74,10 +82,14 @@
 
 class Soak {
  public:
-  Soak(const std::string& program, unsigned seed, bool calm)
+  enum class Mode { kAll, kCalm, kBrokenResponses, kBrokenResponsesNewIds };
+  Soak(const std::string& program, unsigned seed, Mode mode)
       : draw_(seed),
         seed_(seed),
-        calm_(calm),
+        calm_(mode != Mode::kAll),
+        breaks_responses_(mode == Mode::kBrokenResponses || mode == Mode::kBrokenResponsesNewIds),
+        repeats_ids_(mode != Mode::kBrokenResponsesNewIds),
+        broken_responses_(loop_, seed),
         discovery_(loop_),
         moved_discovery_(loop_),
         memory_mb_(draw_.Chance(0.5) ? 32 : 192),
@@ -232,7 +244,10 @@
     if (header == nullptr) return peer.Write(WriteResponse(200, {}, "", true));  // a probe
     const std::string id = *header;
     runs_[id].push_back({Clock::now(), *peer.request.Find("X-Priority-Class")});
+    if (LateClients::IsLate(id)) return late_clients_->Serve(peer);
     const Span work = std::chrono::milliseconds(draw_.Between(5, 150));
+    if (breaks_responses_ && !id.starts_with("open") && draw_.Chance(kBrokenResponses))
+      return After(work, [this, &peer, id] { broken_responses_.Serve(peer, id); });
     const int kind = draw_.Between(0, 19);
     if (kind == 0) return After(work, [&peer] { peer.stream.Reset(); });
     if (kind == 1) return After(work, [&peer] { peer.Write(WriteResponse(500, {}, "", true)); });
@@ -268,7 +283,7 @@
     // Some clients come again with the id of one that has left.
     Request* left = nullptr;
     for (auto& earlier : requests_) {
-      if (earlier->left_at && !earlier->answered && !again_.contains(earlier->id) &&
+      if (repeats_ids_ && earlier->left_at && !earlier->answered && !again_.contains(earlier->id) &&
           earlier->request_class != "look" && draw_.Chance(0.1))
         left = earlier.get();
     }
@@ -292,6 +307,7 @@
       LeaveLongResponse(*request);
       if (!request->leaves_at || request->left_at || now < *request->leaves_at) continue;
       if (!request->client->first_byte_at && !request->client->ended_at) request->left_at = now;
+      request->left_in_response = !request->left_at && !request->client->ended_at;
       request->client->stream.Close();
       request->leaves_at.reset();
     }
@@ -337,8 +353,13 @@
 
   // SIGTERM in series, then clients go on until the kill at its earliest.
   void End() {
-    const Time begun = Clock::now();
     SidecarProcess& last = processes_.newest();
+    if (breaks_responses_) {
+      late_clients_ = std::make_unique<LateClients>(loop_, listen_, kLateClients);
+      Turn(1s);
+      late_clients_->AskWithin(kKillDelay);
+    }
+    const Time begun = Clock::now();
     const int signals = draw_.Between(1, 4);
     for (int i = 0; i < signals; ++i) After(i * 20ms, [this, &last] { processes_.Terminate(last); });
     while (Clock::now() - begun < kKillDelay + kStallOfMachine) {
@@ -348,6 +369,12 @@
     }
     Turn(100ms);
     residents_.JudgeOpenRequests();
+    if (late_clients_) {
+      late_clients_->Judge(
+          begun + kLateRequests, begun + kKillDelay - kLastRequestBeforeKill,
+          [this](const std::string& id) { return runs_.contains(id); },
+          [this](const std::string& what) { Break(what); });
+    }
   }
 
   void Judge() {
@@ -402,14 +429,31 @@
     if (client.first_byte_at && *client.first_byte_at > due)
       return Break("late answer: " + name + " by " + std::to_string((*client.first_byte_at - due) / 1ms) +
                    " ms, besides " + std::to_string((due - allowed) / 1ms) + " ms of stalls here");
+    JudgeEndOfResponse(request, allowed);
     if (client.status() == 200 && client.kept.find(request.id) == std::string::npos && client.received > 300)
       Break("another's answer: " + name);
   }
 
+  // A response that has begun has an end that its client sees.
+  void JudgeEndOfResponse(const Request& request, Time allowed) {
+    const PacedClient& client = *request.client;
+    if (!breaks_responses_ || !client.first_byte_at || request.left_in_response) return;
+    if (BrokenResponses::MayGoOn(client)) return;
+    const Time end = client.IsWhole() ? *client.last_byte_at : client.ended_at.value_or(Clock::now());
+    const Time due = allowed + StalledBetween(*client.written_at, end);
+    if (end <= due || processes_.MayBeLostToKill(*client.written_at, due, kLateRequests)) return;
+    Break("a response without an end: " + request.id + " by " + std::to_string((end - due) / 1ms) +
+          " ms, after " + std::to_string(client.received) + " bytes");
+  }
+
   Draw draw_;
   const unsigned seed_;
   const bool calm_;
+  const bool breaks_responses_;
+  const bool repeats_ids_;  // clients come again with the id of one that has left
   Loop loop_;
+  BrokenResponses broken_responses_;
+  std::unique_ptr<LateClients> late_clients_;  // from the last SIGTERM on
   Party discovery_, moved_discovery_;
   const int memory_mb_;
   const std::string folder_, listen_;
@@ -436,16 +480,24 @@
 }  // namespace umberdyke::net
 
 int main(int argc, char** argv) {
-  const bool calm = argc == 5 && std::string(argv[4]) == "calm";
-  if (argc != 4 && !calm) {
-    std::fprintf(stderr, "usage: umberdyke_soak PROGRAM FIRST_SEED LAST_SEED [calm]\n");
+  using umberdyke::net::Soak;
+  const std::map<std::string, Soak::Mode> modes = {
+      {"", Soak::Mode::kAll},
+      {"calm", Soak::Mode::kCalm},
+      {"broken-responses", Soak::Mode::kBrokenResponses},
+      {"broken-responses-new-ids", Soak::Mode::kBrokenResponsesNewIds}};
+  const auto mode = modes.find(argc == 5 ? argv[4] : "");
+  if (argc < 4 || argc > 5 || mode == modes.end()) {
+    std::fprintf(stderr,
+                 "usage: umberdyke_soak PROGRAM FIRST_SEED LAST_SEED "
+                 "[calm|broken-responses|broken-responses-new-ids]\n");
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
   int passed = 0;
   int failed = 0;
   for (unsigned seed = std::stoul(argv[2]); seed <= std::stoul(argv[3]); ++seed) {
-    umberdyke::net::Soak soak(argv[1], seed, calm);
+    Soak soak(argv[1], seed, mode->second);
     soak.Play() == 0 ? ++passed : ++failed;
   }
   std::printf("%d passed, %d failed\n", passed, failed);
