Share the memory limit of test processes

Whether a process's memory can be judged stood in four test files, and the change of the limit in its configuration in five. Both move into tests/net/memory_limit.h; no check changes.

--- a/tests/net/crowd_memory_process_test.cpp
+++ b/tests/net/crowd_memory_process_test.cpp
@@ -2,6 +2,7 @@
 // process within its memory limit.
 #include <catch2/catch.hpp>
 
+#include "net/memory_limit.h"
 #include "net/paced_peers.h"
 #include "net/process_site.h"
 
@@ -9,12 +10,6 @@
 namespace {
 
 // The memory of a process with an address sanitizer is mostly the sanitizer's.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kMeasuresMemory = false;
-#else
-constexpr bool kMeasuresMemory = true;
-#endif
-
 constexpr int kClients = 440;
 constexpr Span kCrowdTime = 3s;
 constexpr int kTimeoutMs = 2500;
@@ -78,10 +73,8 @@
   const int memory_mb = GENERATE(32, 192);
   const auto kind = static_cast<Kind>(GENERATE(range(0, kKinds + 1)));
   CAPTURE(memory_mb, static_cast<int>(kind));
-  ProcessSite site("crowd-memory", [memory_mb](std::string* config) {
-    const std::string sockets = "\"sockets\":1024";
-    *config = Replaced(*config, sockets, "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
-  });
+  ProcessSite site("crowd-memory",
+                   [memory_mb](std::string* config) { *config = WithMemoryLimit(*config, memory_mb); });
   PacedServer paced(site.loop);
   const bool slow = kind == Kind::kSlowlyReadRequests || kind == Kind::kMixed;
   paced.bytes_per_second = slow ? 100'000 : 0;
--- a/tests/net/flood_process_test.cpp
+++ b/tests/net/flood_process_test.cpp
@@ -2,24 +2,16 @@
 // from the others.
 #include <catch2/catch.hpp>
 
+#include "net/memory_limit.h"
 #include "net/process_site.h"
 
 namespace umberdyke::net {
 namespace {
 
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kMeasuresMemory = false;
-#else
-constexpr bool kMeasuresMemory = true;
-#endif
-
 constexpr int kMemoryMb = 32;
 
 ProcessSite::Change SmallestMemory() {
-  return [](std::string* config) {
-    const std::string sockets = "\"sockets\":1024";
-    *config = Replaced(*config, sockets, "\"memory_mb\":" + std::to_string(kMemoryMb) + "," + sockets);
-  };
+  return [](std::string* config) { *config = WithMemoryLimit(*config, kMemoryMb); };
 }
 
 // Counts the answers on a connection without parsing them one by one.
--- a/tests/net/paced_site.h
+++ b/tests/net/paced_site.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "net/memory_limit.h"
 #include "net/paced_peers.h"
 #include "net/process_site.h"
 
@@ -17,9 +18,7 @@
   explicit PacedSite(int memory_mb, const Change& change = {})
       : ProcessSite("paced",
                     [&](std::string* config) {
-                      const std::string sockets = "\"sockets\":1024";
-                      *config = Replaced(*config, sockets,
-                                         "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
+                      *config = WithMemoryLimit(*config, memory_mb);
                       const std::string classes = "\"request_classes\":[";
                       *config =
                           Replaced(*config, classes, classes + R"({"name":"unsafe","semantics":"side_effect",
--- a/tests/net/request_memory_process_test.cpp
+++ b/tests/net/request_memory_process_test.cpp
@@ -1,19 +1,12 @@
 // Tests that what clients send and never finish keeps a real process within its memory limit.
 #include <catch2/catch.hpp>
 
+#include "net/memory_limit.h"
 #include "net/process_site.h"
 
 namespace umberdyke::net {
 namespace {
 
-// The memory of a process with an address sanitizer is mostly the sanitizer's.
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kMeasuresMemory = false;
-#else
-constexpr bool kMeasuresMemory = true;
-#endif
-
-constexpr int kDescriptors = 1024;
 constexpr Span kEndOfBadClients = 3s;  // a bad client gets an error or a close within this time
 constexpr Span kServerWork = 50ms;
 
@@ -31,10 +24,7 @@
 
 // The change of a configuration that sets its memory limit.
 ProcessSite::Change MemoryLimit(int memory_mb) {
-  return [memory_mb](std::string* config) {
-    const std::string sockets = "\"sockets\":" + std::to_string(kDescriptors);
-    *config = Replaced(*config, sockets, "\"memory_mb\":" + std::to_string(memory_mb) + "," + sockets);
-  };
+  return [memory_mb](std::string* config) { *config = WithMemoryLimit(*config, memory_mb); };
 }
 
 struct UnfinishedRequests {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -18,6 +18,7 @@
 
 #include "files/files.h"
 #include "lab/common/process.h"
+#include "net/memory_limit.h"
 #include "net/paced_peers.h"
 #include "soak/broken_responses.h"
 #include "soak/late_clients.h"
@@ -27,12 +28,6 @@
 namespace umberdyke::net {
 namespace {
 
-#ifdef __SANITIZE_ADDRESS__
-constexpr bool kMeasuresMemory = false;
-#else
-constexpr bool kMeasuresMemory = true;
-#endif
-
 constexpr Span kLoadTime = 5s;         // before SIGTERM
 constexpr Span kLateRequests = 700ms;  // what comes later than this after SIGTERM has its answer by the kill
 constexpr Span kStartTime = 10s;
@@ -161,8 +156,7 @@
     std::string text =
         Replaced(ConfigText(discovery_address_, ListText(1, true, server_lines_)), "127.0.0.1:0", listen_);
     text.insert(1, "\"console\":\"" + console + "\",");
-    const std::string sockets = "\"sockets\":1024";
-    text = Replaced(text, sockets, "\"memory_mb\":" + std::to_string(memory_mb_) + "," + sockets);
+    text = WithMemoryLimit(text, memory_mb_);
     const std::string classes = "\"request_classes\":[";
     return Replaced(text, classes,
                     classes + R"({"name":"unsafe","semantics":"side_effect","target_us":1500000,
