--- a/tests/net/crowd_memory_process_test.cpp
+++ b/tests/net/crowd_memory_process_test.cpp
@@ -9,7 +9,6 @@
 namespace umberdyke::net {
 namespace {
 
-// The memory of a process with an address sanitizer is mostly the sanitizer's.
 constexpr int kClients = 440;
 constexpr Span kCrowdTime = 3s;
 constexpr int kTimeoutMs = 2500;
