--- a/src/flow/flow_deadlines.cpp
+++ b/src/flow/flow_deadlines.cpp
@@ -37,9 +37,9 @@
   StartTimer(flow);
 }
 
+// The end is only put off, so the timer need not be restarted.
 void FlowDeadlines::OnResponseBody(Flow& flow, size_t bytes) const {
-  flow.response_deadline.OnBody(Clock::now(),
-                                bytes);  // it only puts the end off, so the timer need not be restarted
+  flow.response_deadline.OnBody(Clock::now(), bytes);
 }
 
 void FlowDeadlines::OnResponsePaused(Flow& flow) const {
