--- a/tests/net/paced_peers.h
+++ b/tests/net/paced_peers.h
@@ -6,11 +6,13 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <functional>
 #include <limits>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/site.h"
--- a/tests/soak/broken_responses.h
+++ b/tests/soak/broken_responses.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "flow/response_deadline.h"
+#include "http1/http.h"
 #include "net/paced_peers.h"
 
 namespace umberdyke::net {
--- a/tests/soak/late_clients.h
+++ b/tests/soak/late_clients.h
@@ -5,10 +5,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "net/site.h"
+#include "net/paced_peers.h"
 
 namespace umberdyke::net {
 
