Cut a short response 0.1 s after its client's time, in place of 0.3 s

Cause: presumably the soak's own stops of the process, 100 ms each and several in a row, on top of 0.3 s (not traced: the log does not tell them; the soak now names the stops in such a line). Change: the cut comes 0.1 s after the client's time, which leaves 0.4 s to a process that is held up. What is lost by it is a response without a length that passes 64 KiB between 0.1 and 0.3 s after its client's time.

--- a/src/flow/response_deadline.h
+++ b/src/flow/response_deadline.h
@@ -15,8 +15,8 @@
 
 class ResponseDeadline {
  public:
-  // A request is lost if it has no end half a second after its client's time.
-  static constexpr Span kLateResponseGrace = std::chrono::milliseconds(300);
+  // A request is lost if it has no end half a second after its client's time; the process may be held up.
+  static constexpr Span kLateResponseGrace = std::chrono::milliseconds(100);
   // A long response goes on after that while its body makes progress: it comes at this rate on average, in
   // bytes per second, and has not been silent for longer than this.
   static constexpr std::uint64_t kMinBodyRate = 4 * 1024;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,6 +9,7 @@
 // `broken-responses-new-ids` the same, and no client comes again with the id of one that has left.
 //
 // Prints a line for each seed and each broken rule; exits with 1 if a rule was broken.
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -36,6 +37,7 @@
 constexpr Span kMostAfterClose = 100ms;   // until which attempts may begin for a client that has left
 constexpr Span kStallOfMachine = 50ms;    // a longer gap between two turns of this program is a stall
 constexpr size_t kLongResponse = 150'000;
+constexpr Span kStopTime = 100ms;  // for which a process stands still
 constexpr int kServers = 4;
 constexpr int kCrowd = 300;
 constexpr int kMostReplacements = 2;
@@ -226,7 +228,8 @@
     SidecarProcess& one =
         processes_.At(static_cast<size_t>(draw_.Between(0, static_cast<int>(processes_.size()) - 1)));
     one.process->Tell(SIGSTOP);
-    After(100ms, [&one] { one.process->Tell(SIGCONT); });
+    stops_.push_back(Clock::now());
+    After(kStopTime, [&one] { one.process->Tell(SIGCONT); });
   }
   void After(Span delay, std::function<void()> task) {
     timers_.push_back(std::make_unique<Timer>(loop_, std::move(task)));
@@ -436,8 +439,11 @@
     const Time end = client.IsWhole() ? *client.last_byte_at : client.ended_at.value_or(Clock::now());
     const Time due = allowed + StalledBetween(*client.written_at, end);
     if (end <= due || processes_.MayBeLostToKill(*client.written_at, due, kLateRequests)) return;
-    Break("a response without an end: " + request.id + " by " + std::to_string((end - due) / 1ms) +
-          " ms, after " + std::to_string(client.received) + " bytes");
+    const auto stops = std::count_if(stops_.begin(), stops_.end(),
+                                     [&](Time at) { return at > *client.written_at && at < end; });
+    Break("a response without an end: " + request.id + " of " + std::to_string(request.timeout_ms) +
+          " ms by " + std::to_string((end - due) / 1ms) + " ms, with " + std::to_string(stops) +
+          " stops, after " + std::to_string(client.received) + " bytes");
   }
 
   Draw draw_;
@@ -467,6 +473,7 @@
   int broken_ = 0;
   Time last_turn_{};
   std::vector<Stall> stalls_;
+  std::vector<Time> stops_;  // of any of the processes
   Span slowest_turn_{};
 };
 
