--- a/tests/net/response_end_process_test.cpp
+++ b/tests/net/response_end_process_test.cpp
@@ -1,6 +1,7 @@
 // Tests that a real process ends each response that it passes on: by its client's time, or once nothing more
 // comes of a long one; and that it passes on what a server still gives.
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "net/paced_site.h"
 
@@ -108,6 +109,27 @@
   CHECK(site.Ask("GET /-/ready HTTP/1.1\r\n\r\n").status == 200);
 }
 
+// Fails if the end of a response leaves no time to a process that is held up as the request comes, and once
+// more.
+TEST_CASE("a process that is held up twice cuts a short response in time", "[response-end]") {
+  constexpr Span kHeldUp = 150ms;
+  constexpr Span kTimeout = 600ms;
+  PacedSite site(32);
+  const PacedResponse response{kChunkedHead, true, 64, 300ms, 0};
+  Serve(site, response);
+  const auto hold_up = [&] {
+    site.process->Tell(SIGSTOP);
+    site.After(kHeldUp, [&] { site.process->Tell(SIGCONT); });
+  };
+  hold_up();
+  PacedClient client(site.loop, *ParseAddress(site.listen_address),
+                     Look(std::to_string(kTimeout / 1ms), "held"), 0);
+  site.After(kTimeout + kLatestAnswer - 2 * kSocketSlack, hold_up);
+  const Span latest = kTimeout + kLatestAnswer + kSocketSlack;
+  CHECK(site.loop.RunUntil([&] { return client.ended_at.has_value(); }, latest));
+  site.Wait(2 * kHeldUp);  // the process runs again
+}
+
 // Fails if a length that is announced frees a response from its client's time before it brings anything.
 TEST_CASE("a long response that brings next to nothing is cut soon after its client's time",
           "[response-end]") {
